--- /dev/null
+++ b/stand_ins/weight_store_main.ts
@@ -0,0 +1,36 @@
+/** Stand-in of the weight store: a rate of loads and a number at full speed. */
+import {checkDuration, checkHostPort, runProgram} from '@jasminepost/core';
+import {JsonServer, sendJson} from './json_server.ts';
+
+const SETTINGS = {
+  listen: {flag: 'listen', help: 'host:port'},
+  loadsPerS: {flag: 'loads-per-s', help: 'Loads started a second', fallback: '2'},
+  fullSpeed: {flag: 'full-speed', help: 'Loads at once at full speed', fallback: '20'},
+  loadMs: {flag: 'load-ms', help: 'Time of one load at full speed', fallback: '500'},
+} as const;
+
+void runProgram('stand-in-weight-store', SETTINGS, async raw => {
+  const gapMs = 1000 / checkDuration('loads-per-s', raw.loadsPerS, 1, 10_000);
+  const fullSpeed = checkDuration('full-speed', raw.fullSpeed, 1, 10_000);
+  const loadMs = checkDuration('load-ms', raw.loadMs, 0, 600_000);
+  const http = new JsonServer();
+  let nextStartMs = 0;
+  let inFlight = 0;
+  let loads = 0;
+  http.on('GET', '/v1/weights/:name', ({res}) => {
+    const nowMs = performance.now();
+    nextStartMs = Math.max(nowMs, nextStartMs + gapMs);
+    inFlight += 1;
+    loads += 1;
+    const slowdown = Math.max(1, inFlight / fullSpeed);
+    setTimeout(
+      () => {
+        inFlight -= 1;
+        sendJson(res, 200, {loaded: true});
+      },
+      nextStartMs - nowMs + loadMs * slowdown,
+    );
+  });
+  http.on('GET', '/admin/counters', ({res}) => sendJson(res, 200, {loads, inFlight}));
+  await http.listen(checkHostPort('listen', raw.listen));
+});
