--- a/apps/entry/src/lib/replica_index.ts
+++ b/apps/entry/src/lib/replica_index.ts
@@ -1,7 +1,7 @@
 /** Which replicas can serve a model or service, kept ready for routing. */
 import type {UpstreamKind} from '@jasminepost/core';
 import type {Fleet, Replica} from '@jasminepost/mesh';
-import type {RouteCandidate} from '@jasminepost/policy';
+import {Circuit, type RouteCandidate} from '@jasminepost/policy';
 
 /** Live view of a replica as routing sees it. */
 class ReplicaCandidate implements RouteCandidate {
@@ -9,7 +9,10 @@
   readonly idHash: number;
   readonly zone: string;
 
-  constructor(readonly replica: Replica) {
+  constructor(
+    readonly replica: Replica,
+    readonly circuit: Circuit,
+  ) {
     this.id = replica.id;
     this.idHash = replica.idHash;
     this.zone = replica.zone;
@@ -27,6 +30,10 @@
     return this.replica.sentSinceReport;
   }
 
+  isBlocked(nowMs: number): boolean {
+    return this.circuit.isOpen(nowMs);
+  }
+
   get slots(): number {
     return this.replica.status?.slots ?? 1;
   }
@@ -35,6 +42,7 @@
 /** Rebuilt lazily, at most once between two changes of the fleet. @internal */
 export class ReplicaIndex {
   private byTarget = new Map<string, ReplicaCandidate[]>();
+  private readonly circuits = new Map<string, Circuit>();
   private stale = true;
 
   constructor(private readonly fleet: Fleet) {}
@@ -43,6 +51,16 @@
     this.stale = true;
   }
 
+  /** Circuit of a replica; outlives its link. */
+  circuitOf(replica: string): Circuit {
+    let circuit = this.circuits.get(replica);
+    if (circuit === undefined) {
+      circuit = new Circuit();
+      this.circuits.set(replica, circuit);
+    }
+    return circuit;
+  }
+
   candidates(kind: UpstreamKind, target: string): readonly ReplicaCandidate[] {
     if (this.stale) this.rebuild();
     return this.byTarget.get(`${kind}/${target}`) ?? [];
@@ -51,11 +69,14 @@
   private rebuild(): void {
     this.stale = false;
     this.byTarget = new Map();
+    for (const id of this.circuits.keys()) {
+      if (!this.fleet.replicas.has(id)) this.circuits.delete(id);
+    }
     for (const replica of this.fleet.replicas.values()) {
       const {status} = replica;
       if (status === undefined || replica.client.link === undefined) continue;
       if (status.leaving || !status.healthy || replica.listedLeaving) continue;
-      const candidate = new ReplicaCandidate(replica);
+      const candidate = new ReplicaCandidate(replica, this.circuitOf(replica.id));
       const targets = status.kind === 'engine' ? status.models : [status.service];
       for (const target of targets) this.add(`${status.kind}/${target}`, candidate);
     }
--- a/apps/entry/src/lib/request_run.ts
+++ b/apps/entry/src/lib/request_run.ts
@@ -1,20 +1,13 @@
 /** One caller's request from its first attempt to its final answer. */
 import {failureOf, type AnswerSink, type CallerCall} from '@jasminepost/caller';
 import {exhaustive, mayHaveRun, notRun, type Verdict} from '@jasminepost/core';
-import type {
-  ChunkMessage,
-  EndMessage,
-  FailMessage,
-  HeadMessage,
-  MeshLink,
-  Replica,
-} from '@jasminepost/mesh';
+import type {ChunkMessage, EndMessage, FailMessage, HeadMessage, Replica} from '@jasminepost/mesh';
 import type {CancelOutcome, StoredAnswer} from '@jasminepost/platform';
 import {chooseReplica, decideQuarantine, decideRetry} from '@jasminepost/policy';
 import {AttemptStream} from './attempt_stream.ts';
 import type {Dispatcher} from './dispatcher.ts';
 import {TargetMeter} from './target_meter.ts';
-import {textOfEvents} from './resume_text.ts';
+import {startMessage} from './start_message.ts';
 import type {RequestTrace} from './trace_log.ts';
 
 const MAX_ATTEMPTS = 4;
@@ -24,6 +17,17 @@
 /** Time after the caller's deadline in which the sidecar's own answer may still arrive. */
 const DEADLINE_GRACE_MS = 250;
 
+/** Reasons that speak against the replica rather than against the request. */
+const REPLICA_FAULTS: ReadonlySet<Verdict['reason']> = new Set<Verdict['reason']>([
+  'connect_failed',
+  'link_lost',
+  'not_written',
+  'upstream_crashed',
+  'upstream_cut',
+  'upstream_refused',
+  'upstream_unhealthy',
+]);
+
 /** @internal */
 export class RequestRun {
   /** Replica of the attempt in progress. */
@@ -119,7 +123,7 @@
       this.afterNoReplica();
       return;
     }
-    this.send(replica, quarantine.kind === 'isolate', nowMs);
+    this.send(replica, quarantine.kind === 'isolate' ? quarantine.crashes : 0, nowMs);
   }
 
   private choose(): Replica | undefined {
@@ -134,6 +138,7 @@
         prefixSavingMs: PREFIX_SAVING_MS,
         crossZoneMs: context.crossZoneMs,
         serviceMs: context.serviceMsOf(this.call.target),
+        nowMs: context.clock.monotonicMs(),
         excluded: this.excluded,
       },
       Math.random,
@@ -151,7 +156,7 @@
     this.giveUp(notRun('no_replica'), 0, 'verdict');
   }
 
-  private send(replica: Replica, isolate: boolean, nowMs: number): void {
+  private send(replica: Replica, crashes: number, nowMs: number): void {
     const link = replica.client.link;
     if (link === undefined) {
       this.afterAttempt(notRun('not_written'), 0);
@@ -164,33 +169,16 @@
     this.stream = new AttemptStream(attempt, link, this.sink);
     replica.inFlight += 1;
     replica.sentSinceReport += 1;
-    this.note('attempt', replica.id, isolate ? 'isolated' : '');
-    this.sendStart(link, attempt, isolate, nowMs);
-  }
-
-  private sendStart(link: MeshLink, attempt: number, isolate: boolean, nowMs: number): void {
-    const {call} = this;
-    link.send({
-      type: 'start',
-      attempt,
-      requestId: call.requestId,
-      attemptId: this.attemptId,
-      organisation: call.organisation,
-      class: call.class,
-      kind: call.kind,
-      target: call.target,
-      adapter: call.adapter,
-      method: call.method,
-      path: call.path,
-      headers: {...call.headers},
-      body: call.body,
-      fingerprint: call.fingerprint,
-      remainingMs: Math.max(0, Math.round(call.deadlineMs - nowMs)),
-      idempotencyKey: call.idempotencyKey,
-      isolate,
-      resumeTokens: this.delivered.length,
-      resumeText: textOfEvents(this.delivered),
-    });
+    this.note('attempt', replica.id, crashes > 0 ? 'isolated' : '');
+    link.send(
+      startMessage(this.call, {
+        attempt,
+        attemptId: this.attemptId,
+        crashes,
+        nowMs,
+        delivered: this.delivered,
+      }),
+    );
   }
 
   private onChunk(message: ChunkMessage): void {
@@ -213,6 +201,7 @@
       this.afterAttempt(mayHaveRun('link_lost'), 0);
       return;
     }
+    this.owner.context.index.circuitOf(this.replica!.id).onSuccess();
     this.note('end', this.replica!.id, '');
     this.endAttempt();
     this.complete(message.usage);
@@ -234,6 +223,7 @@
     if (this.finished) return;
     const {context} = this.owner;
     this.note('verdict', this.replica?.id ?? '', `${verdict.kind}:${verdict.reason}`);
+    this.countFailure(verdict);
     const idempotent = this.call.idempotencyKey === '';
     this.ranMaybe ||= verdict.kind === 'may_have_run' && idempotent;
     const decision = decideRetry({
@@ -269,6 +259,12 @@
     }
   }
 
+  private countFailure(verdict: Verdict): void {
+    const {clock, index} = this.owner.context;
+    if (this.replica === undefined || !REPLICA_FAULTS.has(verdict.reason)) return;
+    index.circuitOf(this.replica.id).onFailure(clock.monotonicMs());
+  }
+
   /** Makes "not run" certain, or learns what the lost attempt did. */
   private async settleClaim(): Promise<void> {
     const {call} = this;
--- /dev/null
+++ b/apps/entry/src/lib/start_message.ts
@@ -0,0 +1,43 @@
+/** Builds the message that starts an attempt at a sidecar. */
+import type {CallerCall} from '@jasminepost/caller';
+import type {StartMessage} from '@jasminepost/mesh';
+import {textOfEvents} from './resume_text.ts';
+
+interface AttemptFacts {
+  readonly attempt: number;
+  readonly attemptId: string;
+  /** Upstreams that the request is known to have crashed. */
+  readonly crashes: number;
+  readonly nowMs: number;
+  /** Events that the caller already has. */
+  readonly delivered: readonly string[];
+}
+
+/**
+ * @example
+ * link.send(startMessage(call, {attempt: 7, attemptId: 'entry-1.9.7', crashes: 0, ...}));
+ * @internal
+ */
+export function startMessage(call: CallerCall, facts: AttemptFacts): StartMessage {
+  return {
+    type: 'start',
+    attempt: facts.attempt,
+    requestId: call.requestId,
+    attemptId: facts.attemptId,
+    organisation: call.organisation,
+    class: call.class,
+    kind: call.kind,
+    target: call.target,
+    adapter: call.adapter,
+    method: call.method,
+    path: call.path,
+    headers: {...call.headers},
+    body: call.body,
+    fingerprint: call.fingerprint,
+    remainingMs: Math.max(0, Math.round(call.deadlineMs - facts.nowMs)),
+    idempotencyKey: call.idempotencyKey,
+    crashes: facts.crashes,
+    resumeTokens: facts.delivered.length,
+    resumeText: textOfEvents(facts.delivered),
+  };
+}
--- a/apps/entry/src/wire.ts
+++ b/apps/entry/src/wire.ts
@@ -34,7 +34,7 @@
 import {TraceLog} from './lib/trace_log.ts';
 import type {EntrySettings} from './settings.ts';
 
-const RETRY_RATIO = 0.1;
+const RETRY_RATIO = 0.08;
 const RETRY_RESERVE = 10;
 const SUSPECT_MEMORY_MS = 600_000;
 const DEMAND_INTERVAL_MS = 10_000;
--- a/apps/sidecar/src/lib/attempt.ts
+++ b/apps/sidecar/src/lib/attempt.ts
@@ -46,7 +46,7 @@
   ) {
     this.class = start.class;
     this.deadlineMs = clock.monotonicMs() + start.remainingMs;
-    this.isolate = start.isolate;
+    this.isolate = start.crashes > 0;
     this.preemptible = start.kind === 'engine' && start.idempotencyKey === '';
   }
 
--- a/apps/sidecar/src/lib/upstream_gate.ts
+++ b/apps/sidecar/src/lib/upstream_gate.ts
@@ -167,14 +167,15 @@
 
   private nameSuspect(attempt: Attempt): void {
     const {fingerprint} = attempt.start;
-    const crashes = this.context.crashesOf(fingerprint) + 1;
+    // Earlier crashes happened elsewhere; the entry has brought their count along.
+    const crashes = Math.max(attempt.start.crashes, this.context.crashesOf(fingerprint)) + 1;
     this.context.announceSuspect({type: 'suspect', fingerprint, crashes, cleared: false});
   }
 
   private settle(attempt: Attempt, verdict: Verdict): void {
     const {context} = this;
     context.metrics.verdicts.increment(verdict.kind);
-    if (verdict.kind === 'completed' && context.crashesOf(attempt.start.fingerprint) > 0) {
+    if (verdict.kind === 'completed' && attempt.start.crashes > 0) {
       const {fingerprint} = attempt.start;
       context.announceSuspect({type: 'suspect', fingerprint, crashes: 0, cleared: true});
     }
--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,70 @@
+Feature: An accepted configuration is in force everywhere within seconds and never goes back
+
+  Scenario Outline: in force everywhere, <fault>
+    Given a fleet of 2 engines, 1 services and 3 entries
+    When a configuration is accepted, <fault>
+    Then every process has generation 2 within 9000 ms
+    And no process ever went back
+
+    Examples:
+      | fault                                            |
+      | with no fault                                    |
+      | and the key-value service goes down right after  |
+      | and the key-value service hangs right after      |
+      | while watches lose their changes                 |
+      | and 1 entry restarts during an outage            |
+      | and 1 sidecar restarts during an outage          |
+      | and the answer to the accept is lost             |
+      | and 1 entry is paused for 3 s                    |
+
+  Scenario: operators race
+    Given a fleet of 0 engines, 1 services and 2 entries
+    When 6 operators accept different configurations on generation 1 at once
+    Then exactly 1 is accepted and the others are told who won
+    And every process has generation 2 within 9000 ms
+    And every process has the same configuration
+
+  Scenario: an accept on an old generation is refused
+    Given a fleet of 0 engines, 1 services and 1 entries
+    When an operator accepts on generation 0
+    Then the command ends with 3 and says "generation 1"
+
+  Scenario: an accept during an outage changes nothing
+    Given a fleet of 0 engines, 1 services and 1 entries
+    And the key-value service refuses calls
+    When an operator accepts on generation 1
+    Then the command ends with 1 and says "nothing has changed"
+
+  Scenario: a declaration whose floors do not fit is refused with the numbers
+    Given a fleet of 2 engines, 0 services and 1 entries
+    When an operator accepts models of 60000 MiB with 2 copies each on generation 1
+    Then the command ends with 5 and says "floorCopies: found 2, wanted at most 0"
+
+  Scenario Outline: a declaration with <fault>
+    When an operator validates a declaration with <fault>
+    Then the command ends with 2 and says "<message>"
+
+    Examples:
+      | fault               | message                                                                             |
+      | no JSON             | wanted a JSON document                                                              |
+      | an unknown model    | organisations.0.models.0: found "nope", wanted a declared model                     |
+      | a name twice        | models.1: found "a", wanted a name used once                                        |
+      | a negative size     | models.0.weightsMiB: found -1                                                       |
+      | a key in plain text | organisations.0.keys.0.sha256: found "secret", wanted a SHA-256 in lower-case hex  |
+      | an unknown field    | (top): found                                                                        |
+
+  Scenario: answers become a declaration
+    When a team's answers are turned into a declaration
+    Then the declaration holds the team, its models and its services
+
+  Scenario Outline: a setting at fault: <flag> <value>
+    When the <program> starts with "<flag>" set to "<value>"
+    Then the command ends with 2 and says "<message>"
+
+    Examples:
+      | program | flag             | value  | message                                    |
+      | entry   | --listen         | here   | --listen: found "here", wanted host:port   |
+      | entry   | --watch-ms       | 1.5    | --watch-ms: found "1.5", wanted a whole    |
+      | entry   | --max-body-bytes | 0      | --max-body-bytes: found "0"                |
+      | sidecar | --fencing        | maybe  | --fencing: found "maybe"                   |
+      | sidecar | --upstream-kind  | plain  | --upstream-kind: found "plain"             |
--- /dev/null
+++ b/features/steps/at_most_once_steps.ts
@@ -0,0 +1,227 @@
+/** Steps about orders that may not run twice. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {CounterFamily, SystemClock} from '@jasminepost/core';
+import {ClaimStore, KeyValueClient, type KeyValueCall} from '@jasminepost/platform';
+import {callService, type ServiceAnswer} from '../support/caller.ts';
+import {FleetProcess, freePort} from '../support/fleet_process.ts';
+import {ORDER_FAULTS} from '../support/order_faults.ts';
+import {PAID_KEY} from '../support/test_fleet.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const MIDWAY_MS = 250;
+const WINDOW_MS = 60_000;
+
+interface OrderAnswer {
+  readonly key: string;
+  readonly answer: ServiceAnswer;
+  readonly elapsedMs: number;
+}
+
+/** What one scenario has published. */
+class OrderBook {
+  readonly answers: OrderAnswer[] = [];
+  fault = 'none';
+  counts: Record<string, number> = {};
+}
+
+const books = new WeakMap<FleetWorld, OrderBook>();
+const stores = new WeakMap<FleetWorld, {readonly process: FleetProcess; store: ClaimStore}>();
+
+function bookOf(world: FleetWorld): OrderBook {
+  let book = books.get(world);
+  if (book === undefined) {
+    book = new OrderBook();
+    books.set(world, book);
+  }
+  return book;
+}
+
+async function publish(
+  world: FleetWorld,
+  entry: number,
+  key: string,
+  body = `order ${key}`,
+): Promise<void> {
+  const startedMs = performance.now();
+  const {url} = world.fleet.entries[entry];
+  const answer = await callService(url, PAID_KEY, '/publish', body, {'idempotency-key': key});
+  bookOf(world).answers.push({key, answer, elapsedMs: performance.now() - startedMs});
+}
+
+/** Executions of every order over all services that still run. */
+async function executions(world: FleetWorld): Promise<Map<string, number>> {
+  const sums = new Map<string, number>();
+  for (const service of world.fleet.services) {
+    if (!service.process.running) continue;
+    for (const [key, count] of Object.entries(await world.fleet.counters(service.url))) {
+      sums.set(key, (sums.get(key) ?? 0) + count);
+    }
+  }
+  return sums;
+}
+
+When(
+  '{int} orders are published on both entries at once, with fault {string}',
+  async function (this: FleetWorld, count: number, name: string) {
+    const fault = ORDER_FAULTS[name];
+    bookOf(this).fault = name;
+    await fault.before?.(this.fleet);
+    const keys = Array.from({length: count}, (_, i) => `k${i}`);
+    const sent = keys.flatMap(key => [publish(this, 0, key), publish(this, 1, key)]);
+    await new Promise(resolve => setTimeout(resolve, MIDWAY_MS));
+    await fault.midway?.(this.fleet);
+    await Promise.all(sent);
+  },
+);
+
+When(
+  'the fault is over and every order is sent again on both entries',
+  async function (this: FleetWorld) {
+    const book = bookOf(this);
+    await ORDER_FAULTS[book.fault].after?.(this.fleet);
+    // A process that lost a link reconnects with backoff.
+    await new Promise(resolve => setTimeout(resolve, 1500));
+    const keys = new Set(book.answers.map(answer => answer.key));
+    for (const key of keys) {
+      await publish(this, 0, key);
+      await publish(this, 1, key);
+    }
+  },
+);
+
+Then('no order ran twice', async function (this: FleetWorld) {
+  const counts = await executions(this);
+  const doubled = [...counts].filter(([, count]) => count > 1);
+  assert.deepEqual(doubled, []);
+});
+
+Then('every order with an answer of the service ran once', async function (this: FleetWorld) {
+  const counts = await executions(this);
+  const allRun = this.fleet.services.every(service => service.process.running);
+  for (const {key, answer} of bookOf(this).answers) {
+    if (answer.status === 200 && allRun) assert.equal(counts.get(key), 1, key);
+  }
+});
+
+Then('every order whose answers were all "not run" never ran', async function (this: FleetWorld) {
+  const counts = await executions(this);
+  const {answers} = bookOf(this);
+  for (const key of new Set(answers.map(answer => answer.key))) {
+    const own = answers.filter(answer => answer.key === key);
+    const neverRan = own.every(({answer}) => answer.error?.verdict === 'not_run');
+    if (neverRan) assert.equal(counts.get(key) ?? 0, 0, key);
+  }
+});
+
+Then(
+  'at least {int} orders have an answer of the service',
+  function (this: FleetWorld, least: number) {
+    const {answers} = bookOf(this);
+    const answered = new Set(answers.filter(a => a.answer.status === 200).map(a => a.key));
+    const rest = answers
+      .filter(a => a.answer.status !== 200)
+      .map(a => `${a.key} ${a.answer.status} ${a.answer.error?.code ?? 'cut'}`);
+    assert.ok(answered.size >= least, `${answered.size}; others: ${rest.join(', ')}`);
+  },
+);
+
+Then('every final answer came within {int} ms', function (this: FleetWorld, limitMs: number) {
+  const slowest = Math.max(...bookOf(this).answers.map(answer => answer.elapsedMs));
+  assert.ok(slowest <= limitMs, `${slowest} ms`);
+});
+
+When(
+  'the order {string} is published on entry {int}',
+  async function (this: FleetWorld, key: string, entry: number) {
+    await publish(this, entry, key);
+  },
+);
+
+When(
+  'the order {string} is published on entry {int} with another body',
+  async function (this: FleetWorld, key: string, entry: number) {
+    await publish(this, entry, key, 'another body');
+  },
+);
+
+Then('the second answer is the first, marked as replayed', function (this: FleetWorld) {
+  const [first, second] = bookOf(this).answers;
+  assert.equal(first.answer.status, 200);
+  assert.equal(second.answer.status, 200);
+  assert.deepEqual(second.answer.body, first.answer.body);
+  assert.equal(second.answer.headers.get('x-jasminepost-replayed'), 'true');
+});
+
+Then(
+  'the second answer is {int} {string} and {string}',
+  function (this: FleetWorld, status: number, code: string, verdict: string) {
+    const {answer} = bookOf(this).answers[1];
+    assert.equal(answer.status, status);
+    assert.equal(answer.error?.code, code);
+    assert.equal(answer.error.verdict, verdict);
+  },
+);
+
+When('{int} orders are published one after another', async function (this: FleetWorld, n: number) {
+  const book = bookOf(this);
+  book.counts = await this.fleet.counters(this.fleet.keyValueUrl);
+  for (let i = 0; i < n; i++) await publish(this, 0, `cost-${i}`);
+  this.notes.set('orders', n);
+});
+
+Then(
+  'they cost at most {int} writes each and {int} reads',
+  async function (this: FleetWorld, writes: number, reads: number) {
+    const after = await this.fleet.counters(this.fleet.keyValueUrl);
+    const before = bookOf(this).counts;
+    const spent = (name: string) => (after[name] ?? 0) - (before[name] ?? 0);
+    const orders = this.notes.get('orders')!;
+    assert.ok(spent('PUT /v1/kv') <= writes * orders, `${spent('PUT /v1/kv')} writes`);
+    assert.equal(spent('GET /v1/kv'), reads);
+  },
+);
+
+Given('a claim store on a key-value service', async function (this: FleetWorld) {
+  const port = await freePort();
+  const process = new FleetProcess('stand_in_key_value', ['--listen', `127.0.0.1:${port}`]);
+  this.owned.push(process);
+  await process.ready(`http://127.0.0.1:${port}/admin/counters`);
+  const calls = new CounterFamily<KeyValueCall>('calls', '', 'call');
+  const kv = new KeyValueClient(`http://127.0.0.1:${port}`, calls);
+  stores.set(this, {process, store: new ClaimStore(kv, new SystemClock(), WINDOW_MS)});
+});
+
+When(
+  'an entry cancels attempt {string} of order {string} and then a sidecar claims it',
+  async function (this: FleetWorld, attempt: string, key: string) {
+    const {store} = stores.get(this)!;
+    assert.equal((await store.cancel('kowhai', key, 'f', attempt)).kind, 'never_runs');
+    this.listed = (await store.claim('kowhai', key, 'f', attempt)).kind;
+  },
+);
+
+Then('the claim is {string}', function (this: FleetWorld, kind: string) {
+  assert.equal(this.listed, kind);
+});
+
+Then('another attempt {string} is granted', async function (this: FleetWorld, attempt: string) {
+  const outcome = await stores.get(this)!.store.claim('kowhai', 'k', 'f', attempt);
+  assert.equal(outcome.kind, 'granted');
+});
+
+Then(
+  'a cancel of attempt {string} says {string}',
+  async function (this: FleetWorld, attempt: string, kind: string) {
+    const outcome = await stores.get(this)!.store.cancel('kowhai', 'k', 'f', attempt);
+    assert.equal(outcome.kind, kind);
+  },
+);
+
+Then(
+  'a claim of attempt {string} says {string}',
+  async function (this: FleetWorld, attempt: string, kind: string) {
+    const outcome = await stores.get(this)!.store.claim('kowhai', 'k', 'f', attempt);
+    assert.equal(outcome.kind, kind);
+  },
+);
--- /dev/null
+++ b/features/steps/configuration_steps.ts
@@ -0,0 +1,260 @@
+/** Steps about configurations, declarations and settings. */
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {runToEnd, until} from '../support/fleet_process.ts';
+import type {FleetMember} from '../support/fleet_types.ts';
+import {TestFleet} from '../support/test_fleet.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const SHA = 'a'.repeat(64);
+
+interface CommandResult {
+  readonly code: number;
+  readonly output: string;
+}
+
+const results = new WeakMap<FleetWorld, CommandResult[]>();
+const generations = new WeakMap<FleetWorld, Map<string, number[]>>();
+
+function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+function members(fleet: TestFleet): FleetMember[] {
+  return [...fleet.entries, ...fleet.sidecars];
+}
+
+/** Notes each process's generation until the scenario ends. */
+function watchGenerations(world: FleetWorld): void {
+  const seen = new Map<string, number[]>();
+  generations.set(world, seen);
+  const timer = setInterval(() => {
+    for (const member of members(world.fleet)) {
+      const note = async () => {
+        const {generation} = await world.fleet.status(member);
+        seen.set(member.id, [...(seen.get(member.id) ?? []), Number(generation)]);
+      };
+      note().catch(() => undefined);
+    }
+  }, 100);
+  world.cleanups.push(() => clearInterval(timer));
+}
+
+async function restartInOutage(world: FleetWorld, member: FleetMember): Promise<void> {
+  await world.fleet.accept(world.fleet.declaration({objective: {attainment: 1, moves: 0}}));
+  await world.fleet.faults(world.fleet.keyValueUrl, {outage: 'hang'});
+  await world.fleet.restart(member);
+}
+
+type AcceptFault = (world: FleetWorld, accept: () => Promise<void>) => Promise<void>;
+
+const ACCEPT_FAULTS: Readonly<Record<string, AcceptFault>> = {
+  'with no fault': (_world, accept) => accept(),
+  'and the key-value service goes down right after': async (world, accept) => {
+    await world.fleet.faults(world.fleet.keyValueUrl, {loseWatches: true});
+    await accept();
+    await world.fleet.faults(world.fleet.keyValueUrl, {outage: 'refuse'});
+  },
+  'and the key-value service hangs right after': async (world, accept) => {
+    await world.fleet.faults(world.fleet.keyValueUrl, {loseWatches: true});
+    await accept();
+    await world.fleet.faults(world.fleet.keyValueUrl, {outage: 'hang'});
+  },
+  'while watches lose their changes': async (world, accept) => {
+    await world.fleet.faults(world.fleet.keyValueUrl, {loseWatches: true});
+    await accept();
+  },
+  'and 1 entry restarts during an outage': world => restartInOutage(world, world.fleet.entries[0]),
+  'and 1 sidecar restarts during an outage': world =>
+    restartInOutage(world, world.fleet.sidecars[0]),
+  'and the answer to the accept is lost': async (world, accept) => {
+    const faults = {loseAnswers: 1, losePrefix: 'config/'};
+    await world.fleet.faults(world.fleet.keyValueUrl, faults);
+    await accept();
+  },
+  'and 1 entry is paused for 3 s': async (world, accept) => {
+    world.fleet.entries[0].process.signal('SIGSTOP');
+    await accept();
+    await wait(3000);
+    world.fleet.entries[0].process.signal('SIGCONT');
+  },
+};
+
+When(/^a configuration is accepted, (.+)$/, async function (this: FleetWorld, fault: string) {
+  watchGenerations(this);
+  const accept = () =>
+    this.fleet.accept(this.fleet.declaration({objective: {attainment: 1, moves: 0}}));
+  await ACCEPT_FAULTS[fault](this, accept);
+  this.notes.set('acceptedMs', performance.now());
+});
+
+Then(
+  'every process has generation {int} within {int} ms',
+  async function (this: FleetWorld, generation: number, limitMs: number) {
+    await until(`generation ${generation} everywhere`, limitMs, async () => {
+      const statuses = await Promise.all(members(this.fleet).map(m => this.fleet.status(m)));
+      return statuses.every(status => status['generation'] === generation) ? true : undefined;
+    });
+  },
+);
+
+Then('no process ever went back', async function (this: FleetWorld) {
+  await wait(500);
+  for (const [id, seen] of generations.get(this)!) {
+    // A restarted process knows no configuration until a peer has told it.
+    const known = seen.filter(generation => generation > 0);
+    const sorted = [...known].sort((a, b) => a - b);
+    assert.deepEqual(known, sorted, id);
+  }
+});
+
+When(
+  '{int} operators accept different configurations on generation {int} at once',
+  async function (this: FleetWorld, operators: number, generation: number) {
+    const accepts = Array.from({length: operators}, (_, i) => {
+      const objective = {attainment: i / operators, moves: 1 - i / operators};
+      const declaration = this.fleet.declaration({objective});
+      return this.fleet.tryAccept(declaration, generation, `operator-${i}`);
+    });
+    results.set(this, await Promise.all(accepts));
+  },
+);
+
+Then(
+  'exactly {int} is accepted and the others are told who won',
+  async function (this: FleetWorld, accepted: number) {
+    const all = results.get(this)!;
+    assert.equal(all.filter(result => result.code === 0).length, accepted);
+    const winner = all.findIndex(result => result.code === 0);
+    for (const result of all.filter(r => r.code !== 0)) {
+      assert.equal(result.code, 3, result.output);
+      assert.ok(result.output.includes(`by operator-${winner} `), result.output);
+    }
+  },
+);
+
+Then('every process has the same configuration', async function (this: FleetWorld) {
+  const statuses = await Promise.all(members(this.fleet).map(m => this.fleet.status(m)));
+  assert.equal(new Set(statuses.map(status => status['hash'])).size, 1);
+});
+
+When(
+  'an operator accepts on generation {int}',
+  async function (this: FleetWorld, generation: number) {
+    const result = await this.fleet.tryAccept(this.fleet.declaration(), generation);
+    results.set(this, [result]);
+  },
+);
+
+When(
+  'an operator accepts models of {int} MiB with {int} copies each on generation {int}',
+  async function (this: FleetWorld, weightsMiB: number, floorCopies: number, generation: number) {
+    const model = (name: string) => ({name, weightsMiB, kvFloorMiB: 0, floorCopies});
+    const models = [model('summary'), model('second')];
+    const declaration = this.fleet.declaration({models});
+    results.set(this, [await this.fleet.tryAccept(declaration, generation)]);
+  },
+);
+
+Then(
+  'the command ends with {int} and says {string}',
+  function (this: FleetWorld, code: number, text: string) {
+    checkCommand(this, code, text);
+  },
+);
+
+Then(
+  /^the command ends with (\d+) and says "(.*"[^"]*".*)"$/,
+  function (this: FleetWorld, code: string, text: string) {
+    checkCommand(this, Number(code), text);
+  },
+);
+
+function checkCommand(world: FleetWorld, code: number, text: string): void {
+  const [result] = results.get(world)!;
+  assert.equal(result.code, code, result.output);
+  assert.ok(result.output.includes(text), result.output);
+}
+
+function declarationWith(fault: string): string {
+  const model = {name: 'a', weightsMiB: 1, kvFloorMiB: 0, floorCopies: 1};
+  const organisation = {name: 'o', class: 'paid', keys: [{id: 'k', sha256: SHA}], models: ['a']};
+  const base = {version: 1, organisations: [organisation], models: [model]};
+  switch (fault) {
+    case 'no JSON':
+      return '{';
+    case 'an unknown model':
+      return JSON.stringify({...base, organisations: [{...organisation, models: ['nope']}]});
+    case 'a name twice':
+      return JSON.stringify({...base, models: [model, model]});
+    case 'a negative size':
+      return JSON.stringify({...base, models: [{...model, weightsMiB: -1}]});
+    case 'a key in plain text': {
+      const keys = [{id: 'k', sha256: 'secret'}];
+      return JSON.stringify({...base, organisations: [{...organisation, keys}]});
+    }
+    default:
+      return JSON.stringify({...base, surprise: 1});
+  }
+}
+
+When(
+  /^an operator validates a declaration with (.+)$/,
+  async function (this: FleetWorld, fault: string) {
+    const file = await this.tempFile('declaration.json', declarationWith(fault));
+    results.set(this, [await runToEnd('jasminepost', ['validate', file])]);
+  },
+);
+
+When("a team's answers are turned into a declaration", async function (this: FleetWorld) {
+  const answers = {
+    organisation: 'karori-desk',
+    class: 'trial',
+    keySha256: SHA,
+    models: [{name: 'summary-7b', weightsGiB: 14, kvFloorGiB: 2}],
+    services: [{name: 'index', nonIdempotent: [{method: 'POST', pathPrefix: '/release'}]}],
+    peakRequestsPerS: 3,
+  };
+  const file = await this.tempFile('answers.json', JSON.stringify(answers));
+  results.set(this, [await runToEnd('jasminepost', ['questionnaire', '--answers', file])]);
+});
+
+Then('the declaration holds the team, its models and its services', function (this: FleetWorld) {
+  const [{code, output}] = results.get(this)!;
+  assert.equal(code, 0, output);
+  const declaration = JSON.parse(output) as ReturnType<TestFleet['declaration']>;
+  assert.deepEqual(declaration['models'], [
+    {
+      name: 'summary-7b',
+      weightsMiB: 14_336,
+      kvFloorMiB: 2048,
+      floorCopies: 2,
+      serviceMs: 1000,
+      adapters: [],
+    },
+  ]);
+  const [organisation] = declaration['organisations'] as ReadonlyArray<
+    Readonly<Record<string, unknown>>
+  >;
+  assert.equal(organisation['name'], 'karori-desk');
+  assert.equal(organisation['class'], 'trial');
+  assert.equal(organisation['requestsPerS'], 3);
+  assert.deepEqual(organisation['services'], ['index']);
+});
+
+When(
+  /^the (entry|sidecar) starts with "(.+)" set to "(.+)"$/,
+  async function (this: FleetWorld, program: string, flag: string, value: string) {
+    const needed: Record<string, string> = {
+      '--id': 'x',
+      '--zone': 'z',
+      '--key-value-url': 'http://127.0.0.1:1',
+      '--instance-list-url': 'http://127.0.0.1:1',
+      '--mesh-key': 'k',
+      ...(program === 'sidecar' ? {'--upstream-url': 'http://127.0.0.1:1'} : {}),
+      [flag]: value,
+    };
+    const args = Object.entries(needed).flat();
+    results.set(this, [await runToEnd(`jasminepost-${program}`, args)]);
+  },
+);
--- /dev/null
+++ b/features/steps/resilience_steps.ts
@@ -0,0 +1,273 @@
+/** Steps about crashes, retries, outages and memory. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {CounterFamily} from '@jasminepost/core';
+import {HelloGuard, MeshClient, type LinkFault} from '@jasminepost/mesh';
+import {callService, complete, type CompletionAnswer} from '../support/caller.ts';
+import {until} from '../support/fleet_process.ts';
+import {LoadRun} from '../support/load_run.ts';
+import {PAID_KEY} from '../support/test_fleet.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const CRASH_EXIT_CODE = 70;
+const WARM_UP_MS = 300;
+const ORDER_FAULTS_AT_ONCE = 2;
+const LATE_MS = 1200;
+
+function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+Given(
+  'a fleet of {int} engines, {int} services and {int} entries that crash on {string}',
+  async function (
+    this: FleetWorld,
+    engines: number,
+    services: number,
+    entries: number,
+    text: string,
+  ) {
+    const engineArgs = ['--crash-text', text];
+    await this.startFleet({engines, services, entries, floorCopies: engines, engineArgs});
+  },
+);
+
+When(
+  'callers keep asking for {int} tokens while a caller sends {string} {int} times to both entries',
+  async function (this: FleetWorld, tokens: number, prompt: string, times: number) {
+    const {entries} = this.fleet;
+    const url = (caller: number) => entries[caller % entries.length].url;
+    const load = new LoadRun({callers: 8, tokens, key: PAID_KEY, url});
+    this.loads.push(load);
+    await wait(WARM_UP_MS);
+    for (let i = 0; i < times; i++) {
+      this.completion = await complete({url: url(i), key: PAID_KEY, tokens, prompt});
+      this.completions.push(this.completion);
+    }
+    await load.stop();
+  },
+);
+
+Then('at most {int} engines have crashed', function (this: FleetWorld, most: number) {
+  const crashed = this.fleet.engines.filter(e => e.process.exitCode === CRASH_EXIT_CODE);
+  assert.ok(crashed.length >= 1, 'the request crashed nothing');
+  assert.ok(crashed.length <= most, `${crashed.length} engines`);
+});
+
+Then(
+  'the last answer to {string} is {int} {string} and {string}',
+  function (this: FleetWorld, _prompt: string, status: number, code: string, verdict: string) {
+    const answer: CompletionAnswer = this.completion!;
+    assert.equal(answer.status, status);
+    assert.equal(answer.error?.code, code);
+    assert.equal(answer.error.verdict, verdict);
+  },
+);
+
+When(
+  /^(\d+) calls are made by (\d+) callers while (service 0 refuses|all services refuse) all calls$/,
+  async function (this: FleetWorld, calls: string, callers: string, which: string) {
+    const {fleet} = this;
+    const refusing = which.startsWith('all') ? fleet.services : fleet.services.slice(0, 1);
+    for (const service of refusing) await fleet.faults(service.url, {refuse: 1_000_000});
+    let next = 0;
+    let slowestMs = 0;
+    const worker = async () => {
+      while (next < Number(calls)) {
+        const {url} = fleet.entries[next++ % fleet.entries.length];
+        const startedMs = performance.now();
+        this.calls.push(await callService(url, PAID_KEY, '/index', 'x'));
+        slowestMs = Math.max(slowestMs, performance.now() - startedMs);
+      }
+    };
+    await Promise.all(Array.from({length: Number(callers)}, worker));
+    this.notes.set('slowestMs', slowestMs);
+  },
+);
+
+Then(
+  'attempts are at most {float} times the calls',
+  async function (this: FleetWorld, ratio: number) {
+    const retries = await this.fleet.counter(this.fleet.entries, 'retries');
+    const total = Object.values(retries).reduce((sum, count) => sum + count, 0);
+    const measured = 1 + total / this.calls.length;
+    this.log(`amplification ${measured.toFixed(3)}`);
+    assert.ok(measured <= ratio, `${measured}`);
+  },
+);
+
+Then('at least {int} calls are answered', function (this: FleetWorld, least: number) {
+  const answered = this.calls.filter(call => call.status === 200).length;
+  assert.ok(answered >= least, `${answered} answered`);
+});
+
+Then(
+  'every call has its final answer within {int} ms',
+  function (this: FleetWorld, limitMs: number) {
+    assert.ok(this.notes.get('slowestMs')! <= limitMs, `${this.notes.get('slowestMs')} ms`);
+    assert.ok(this.calls.every(call => call.error?.verdict === 'not_run'));
+  },
+);
+
+Given(
+  'a fleet of {int} engines, {int} services and {int} entries with leases of a few seconds',
+  async function (this: FleetWorld, engines: number, services: number, entries: number) {
+    const short = ['--watch-ms', '1000', '--claim-window-ms', '4000'];
+    await this.startFleet({engines, services, entries, entryArgs: short, sidecarArgs: short});
+  },
+);
+
+When(
+  'the key-value service hangs for {int} s while callers ask for {int} tokens',
+  async function (this: FleetWorld, seconds: number, tokens: number) {
+    const {fleet} = this;
+    const url = (caller: number) => fleet.entries[caller % fleet.entries.length].url;
+    const load = new LoadRun({callers: 6, tokens, key: PAID_KEY, url});
+    this.loads.push(load);
+    await fleet.faults(fleet.keyValueUrl, {outage: 'hang'});
+    await wait(seconds * 500);
+    this.call = await callService(url(0), PAID_KEY, '/publish', 'x', {'idempotency-key': 'o1'});
+    const declaration = fleet.declaration({objective: {attainment: 1, moves: 0}});
+    const accept = await fleet.tryAccept(declaration, fleet.generation);
+    this.notes.set('acceptCode', accept.code);
+    await wait(seconds * 500);
+    await fleet.faults(fleet.keyValueUrl, {outage: 'none'});
+    await load.stop();
+  },
+);
+
+Then('a publication during the outage was refused as not run', function (this: FleetWorld) {
+  assert.equal(this.call?.status, 503);
+  assert.equal(this.call.error?.code, 'claim_store_unavailable');
+  assert.equal(this.call.error.verdict, 'not_run');
+});
+
+Then('an accept during the outage was refused', function (this: FleetWorld) {
+  assert.equal(this.notes.get('acceptCode'), 1);
+});
+
+Then('afterwards a publication and an accept succeed', async function (this: FleetWorld) {
+  const {fleet} = this;
+  const {url} = fleet.entries[0];
+  await until('publication', 5000, async () => {
+    const call = await callService(url, PAID_KEY, '/publish', 'x', {'idempotency-key': 'o2'});
+    return call.status === 200 ? true : undefined;
+  });
+  await fleet.accept(fleet.declaration({objective: {attainment: 1, moves: 0}}));
+});
+
+When('entry {int} is restarted', async function (this: FleetWorld, index: number) {
+  await this.fleet.restart(this.fleet.entries[index]);
+});
+
+When(
+  'a paid caller asks for {int} tokens once entry {int} is ready',
+  async function (this: FleetWorld, tokens: number, index: number) {
+    const entry = this.fleet.entries[index];
+    await entry.process.ready(`${entry.adminUrl}/readyz`);
+    await until('sidecars linked', 5000, async () => {
+      const status = await this.fleet.status(entry);
+      return Number(status['replicas']) === this.fleet.sidecars.length ? true : undefined;
+    });
+    await wait(WARM_UP_MS);
+    this.completion = await complete({url: entry.url, key: PAID_KEY, tokens});
+  },
+);
+
+Given(
+  'a fleet of {int} engines of {int} MiB with fencing {string} and {int} models of {int} MiB',
+  async function (
+    this: FleetWorld,
+    engines: number,
+    totalMiB: number,
+    fencing: string,
+    models: number,
+    modelMiB: number,
+  ) {
+    await this.startFleet({
+      engines,
+      services: 0,
+      entries: 1,
+      models: Array.from({length: models}, (_, i) => `model-${i}`),
+      floorCopies: 1,
+      modelMiB,
+      engineArgs: ['--total-mib', String(totalMiB), '--fencing', fencing],
+      sidecarArgs: ['--fencing', fencing],
+    });
+  },
+);
+
+When(
+  /^engine orders are (lost|late|doubled) while models are swapped (\d+) times and sidecar 0 is restarted$/,
+  async function (this: FleetWorld, fault: string, swaps: string) {
+    const {fleet} = this;
+    const field = {lost: 'lose', late: 'late', doubled: 'double'}[fault]!;
+    for (let i = 0; i < Number(swaps); i++) {
+      for (const engine of fleet.engines) {
+        await fleet.faults(engine.url, {[field]: ORDER_FAULTS_AT_ONCE, lateMs: LATE_MS});
+      }
+      await fleet.accept(swapped(this, i));
+      await wait(1000);
+      if (i === 1) await fleet.restart(fleet.sidecars[0]);
+    }
+  },
+);
+
+/** Declaration in which one model has been renamed, so that every holder must swap it. */
+function swapped(world: FleetWorld, round: number): Readonly<Record<string, unknown>> {
+  const base = world.fleet.declaration();
+  const rename = (name: string) => (name === 'model-0' ? `model-0-${round}` : name);
+  const organisations = base['organisations'] as ReadonlyArray<{readonly models: string[]}>;
+  const models = base['models'] as ReadonlyArray<{readonly name: string}>;
+  return {
+    ...base,
+    organisations: organisations.map(o => ({...o, models: o.models.map(rename)})),
+    models: models.map(model => ({...model, name: rename(model.name)})),
+  };
+}
+
+Then('no engine was asked to exceed its memory', async function (this: FleetWorld) {
+  for (const engine of this.fleet.engines) {
+    const {overcommits, loads} = await this.fleet.counters(engine.url);
+    assert.equal(overcommits, 0);
+    assert.ok(loads > 0);
+  }
+});
+
+Then('every model is served at the end', async function (this: FleetWorld) {
+  await until('every model served', 30_000, async () => {
+    const statuses = await Promise.all(this.fleet.sidecars.map(s => this.fleet.status(s)));
+    const served = new Set(statuses.flatMap(status => status['models'] as string[]));
+    return ['model-0-3', 'model-1', 'model-2'].every(m => served.has(m)) ? true : undefined;
+  });
+});
+
+When(
+  'a peer with a wrong key connects to sidecar {int}',
+  async function (this: FleetWorld, index: number) {
+    const faults = new CounterFamily<LinkFault>('faults', '', 'reason');
+    const client = new MeshClient(
+      {host: '127.0.0.1', port: this.fleet.sidecars[index].meshPort},
+      {id: 'stranger', incarnation: 1, role: 'entry', zone: 'z'},
+      new HelloGuard('wrong key'),
+      {
+        onUp: () => this.notes.set('up', 1),
+        onMessage: () => undefined,
+        onDown: () => undefined,
+        isAwaiting: () => false,
+      },
+      faults,
+    );
+    this.cleanups.push(() => client.dispose());
+    await until('refused', 3000, async () => (faults.get('closed_by_peer') > 0 ? true : undefined));
+  },
+);
+
+Then(
+  'the link is cut and sidecars counted {string}',
+  async function (this: FleetWorld, reason: string) {
+    assert.equal(this.notes.get('up'), undefined);
+    const counts = await this.fleet.counter(this.fleet.sidecars, 'link_faults');
+    assert.ok((counts[reason] ?? 0) > 0, JSON.stringify(counts));
+  },
+);
--- /dev/null
+++ b/features/steps/stream_steps.ts
@@ -0,0 +1,182 @@
+/** Steps about whole and own answers. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {complete} from '../support/caller.ts';
+import {LoadRun} from '../support/load_run.ts';
+import {TamperProxy, type Tampering} from '../support/tamper_proxy.ts';
+import {PAID_KEY, TRIAL_KEY, type TestFleet} from '../support/test_fleet.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const MIDWAY_MS = 250;
+
+const STREAM_FAULTS: Readonly<Record<string, (fleet: TestFleet) => Promise<void>>> = {
+  'an engine is killed': fleet => fleet.engines[0].process.kill(),
+  'a sidecar is killed': fleet => fleet.sidecars[0].process.kill(),
+  'a sidecar is paused': async fleet => fleet.sidecars[0].process.signal('SIGSTOP'),
+  'a sidecar is paused and continued': async fleet => {
+    fleet.sidecars[0].process.signal('SIGSTOP');
+    await wait(3000);
+    fleet.sidecars[0].process.signal('SIGCONT');
+  },
+  'two sidecars are killed one by one': async fleet => {
+    await fleet.sidecars[0].process.kill();
+    await wait(150);
+    await fleet.sidecars[1].process.kill();
+  },
+  'a sidecar is stopped': async fleet => fleet.sidecars[0].process.signal('SIGTERM'),
+  'an engine and a sidecar are killed': async fleet => {
+    await Promise.all([fleet.engines[0].process.kill(), fleet.sidecars[1].process.kill()]);
+  },
+};
+
+function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+Given(
+  'a fleet of {int} engines, {int} services and {int} entries with {int} copies',
+  async function (
+    this: FleetWorld,
+    engines: number,
+    services: number,
+    entries: number,
+    floorCopies: number,
+  ) {
+    await this.startFleet({engines, services, entries, floorCopies});
+  },
+);
+
+Given(
+  'a fleet of {int} engines, {int} services and {int} entries with {int} slots',
+  async function (
+    this: FleetWorld,
+    engines: number,
+    services: number,
+    entries: number,
+    slots: number,
+  ) {
+    const engineArgs = ['--slots', String(slots)];
+    await this.startFleet({engines, services, entries, engineArgs});
+  },
+);
+
+Given(
+  /^a fleet of 2 engines, 0 services and 2 entries with frames of sidecar 0 tampered with: (.+) every (\d+)$/,
+  async function (this: FleetWorld, tampering: string, every: string) {
+    await this.startFleet({engines: 2, services: 0, entries: 2});
+    const sidecar = this.fleet.sidecars[0];
+    const proxy = new TamperProxy(sidecar.meshPort, tampering as Tampering, Number(every));
+    this.cleanups.push(() => proxy.close());
+    const meshPort = await proxy.listen();
+    this.fleet.sidecars[0] = {...sidecar, meshPort};
+    await this.fleet.publishList();
+    // The list lags; entries then move their link to the proxy.
+    await wait(1500);
+  },
+);
+
+When(
+  /^(\d+) callers ask for (\d+) tokens (\d+) times(?:, and (.+) midway)?$/,
+  async function (
+    this: FleetWorld,
+    callers: string,
+    tokens: string,
+    requests: string,
+    fault: string | null,
+  ) {
+    const {entries} = this.fleet;
+    const load = new LoadRun({
+      callers: Number(callers),
+      tokens: Number(tokens),
+      requests: Number(requests),
+      key: PAID_KEY,
+      url: caller => entries[caller % entries.length].url,
+    });
+    this.loads.push(load);
+    await wait(MIDWAY_MS);
+    if (fault !== null) await STREAM_FAULTS[fault](this.fleet);
+    await load.whenDone();
+  },
+);
+
+Then("every answer is whole and the caller's own", function (this: FleetWorld) {
+  assert.deepEqual(
+    this.loads.flatMap(load => load.faults()),
+    [],
+  );
+});
+
+Then('no caller took an incomplete or foreign answer for its own', function (this: FleetWorld) {
+  for (const load of this.loads) {
+    const faults = load.faults();
+    const ended = load.answers.filter(({answer}) => answer?.ended === true).length;
+    assert.equal(ended + faults.length, load.answers.length, faults.join('\n'));
+  }
+});
+
+Then(
+  'at least {int} of {int} answers are whole',
+  function (this: FleetWorld, least: number, total: number) {
+    const faults = this.loads.flatMap(load => load.faults());
+    assert.ok(total - faults.length >= least, faults.join('\n'));
+  },
+);
+
+Then(
+  'entries counted {string} for {string}',
+  async function (this: FleetWorld, counter: string, reason: string) {
+    const counts = await this.fleet.counter(this.fleet.entries, counter);
+    assert.ok((counts[reason] ?? 0) > 0, JSON.stringify(counts));
+  },
+);
+
+Then(
+  'sidecars counted {string} for {string}',
+  async function (this: FleetWorld, counter: string, reason: string) {
+    const counts = await this.fleet.counter(this.fleet.sidecars, counter);
+    assert.ok((counts[reason] ?? 0) > 0, JSON.stringify(counts));
+  },
+);
+
+When(
+  'a paid caller asks for {int} tokens within {int} ms and the only engine is killed midway',
+  async function (this: FleetWorld, tokens: number, timeoutMs: number) {
+    const answer = complete({
+      url: this.fleet.entries[0].url,
+      key: PAID_KEY,
+      tokens,
+      headers: {'x-request-timeout-ms': String(timeoutMs)},
+    });
+    await wait(MIDWAY_MS);
+    await this.fleet.engines[0].process.kill();
+    this.completion = await answer;
+  },
+);
+
+Then('the answer ends in an error event without the end marker', function (this: FleetWorld) {
+  const answer = this.completion!;
+  assert.equal(answer.status, 200);
+  assert.ok(answer.text.length > 0);
+  assert.equal(answer.ended, false);
+  assert.equal(answer.error?.verdict, 'may_have_run');
+  assert.ok((answer.error.retry_after_ms ?? 0) > 0);
+});
+
+When(
+  '{int} trial callers ask for {int} tokens and then {int} paid callers for {int} tokens',
+  async function (
+    this: FleetWorld,
+    trial: number,
+    trialTokens: number,
+    paid: number,
+    paidTokens: number,
+  ) {
+    const url = () => this.fleet.entries[0].url;
+    const slow = {callers: trial, tokens: trialTokens, requests: 1, key: TRIAL_KEY, url};
+    this.loads.push(new LoadRun(slow));
+    await wait(MIDWAY_MS);
+    const fast = {callers: paid, tokens: paidTokens, requests: 1, key: PAID_KEY, url};
+    this.loads.push(new LoadRun(fast));
+    await Promise.all(this.loads.map(load => load.whenDone()));
+  },
+);
--- /dev/null
+++ b/features/support/balancer.ts
@@ -0,0 +1,38 @@
+/** The platform's balancer: sends callers to entries whose `/readyz` answers 200. */
+import type {FleetMember} from './fleet_types.ts';
+
+const POLL_MS = 50;
+
+export class Balancer {
+  private ready: FleetMember[] = [];
+  private next = 0;
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly entries: readonly FleetMember[]) {
+    this.ready = [...entries];
+    this.timer = setInterval(() => void this.poll(), POLL_MS);
+  }
+
+  /** Address of the entry for the next request. */
+  url(): string {
+    const pool = this.ready.length > 0 ? this.ready : this.entries;
+    this.next += 1;
+    return pool[this.next % pool.length].url;
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private async poll(): Promise<void> {
+    const answers = await Promise.all(
+      this.entries.map(entry =>
+        fetch(`${entry.adminUrl}/readyz`).then(
+          res => res.status === 200,
+          () => false,
+        ),
+      ),
+    );
+    this.ready = this.entries.filter((_, index) => answers[index]);
+  }
+}
--- a/features/support/caller.ts
+++ b/features/support/caller.ts
@@ -1,4 +1,5 @@
 /** A caller of the system, as tests and the demo use it. */
+import {fnv1a32} from '@jasminepost/core';
 
 export interface CompletionAnswer {
   readonly status: number;
@@ -42,7 +43,7 @@
     },
     body: JSON.stringify({
       model: options.model ?? 'summary',
-      messages: [{role: 'user', content: options.prompt ?? 'Summarise the month.'}],
+      messages: messagesOf(options.prompt),
       max_tokens: options.tokens ?? 16,
       stream: true,
       stream_options: {include_usage: true},
@@ -92,6 +93,18 @@
   return event.choices.map(choice => choice.delta?.content ?? '').join('');
 }
 
+function messagesOf(
+  prompt = 'Summarise the month.',
+): ReadonlyArray<Readonly<Record<string, string>>> {
+  return [{role: 'user', content: prompt}];
+}
+
+/** True when the answer is whole, ended, and was generated for `prompt`. */
+export function isOwnWhole(answer: CompletionAnswer, prompt: string, tokens: number): boolean {
+  const owner = fnv1a32(JSON.stringify(messagesOf(prompt))).toString(36);
+  return answer.ended && answer.text.startsWith(`${owner}x`) && isWhole(answer.text, tokens);
+}
+
 /** True when the text is one unbroken generation of `tokens` tokens. */
 export function isWhole(text: string, tokens: number): boolean {
   const words = text.trim().split(' ');
--- /dev/null
+++ b/features/support/load_run.ts
@@ -0,0 +1,76 @@
+/** Callers that keep asking in the background. */
+import {messageOf} from '@jasminepost/core';
+import {complete, isOwnWhole, type CompletionAnswer} from './caller.ts';
+
+/** Time of a caller between two requests. */
+const PAUSE_MS = 5;
+
+export interface LoadOptions {
+  readonly callers: number;
+  readonly tokens: number;
+  readonly key: string;
+  /** Requests of each caller; without it they ask until stopped. */
+  readonly requests?: number;
+  /** Chooses the entry, as the platform's balancer does. */
+  url(caller: number): string;
+}
+
+export interface LoadAnswer {
+  readonly prompt: string;
+  readonly answer: CompletionAnswer | undefined;
+  readonly thrown: string;
+}
+
+export class LoadRun {
+  readonly answers: LoadAnswer[] = [];
+  private stopped = false;
+  private readonly done: Promise<unknown>;
+
+  constructor(private readonly options: LoadOptions) {
+    const callers = Array.from({length: options.callers}, (_, i) => this.runCaller(i));
+    this.done = Promise.all(callers);
+  }
+
+  /** Lets every caller finish its request. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await this.done;
+  }
+
+  /** Waits until every caller has made its requests. */
+  async whenDone(): Promise<void> {
+    await this.done;
+  }
+
+  /** Answers that are not whole, or not the caller's own. */
+  faults(): string[] {
+    return this.answers
+      .filter(
+        ({prompt, answer}) =>
+          answer === undefined || !isOwnWhole(answer, prompt, this.options.tokens),
+      )
+      .map(({prompt, answer, thrown}) => {
+        const code = answer?.error?.code ?? (answer?.cut === true ? 'cut' : '');
+        return `${prompt}: ${thrown}${answer?.status ?? ''} ${code} ${answer?.text.slice(0, 60) ?? ''}`;
+      });
+  }
+
+  private async runCaller(caller: number): Promise<void> {
+    const {requests = Number.POSITIVE_INFINITY, tokens, key} = this.options;
+    for (let i = 0; i < requests && !this.stopped; i++) {
+      const prompt = `caller ${caller} request ${i}`;
+      try {
+        const url = this.options.url(caller);
+        this.answers.push({prompt, answer: await complete({url, key, tokens, prompt}), thrown: ''});
+      } catch (thrown) {
+        this.answers.push({prompt, answer: undefined, thrown: describe(thrown)});
+      }
+      await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
+    }
+  }
+}
+
+function describe(thrown: unknown): string {
+  const {cause} = thrown as {readonly cause?: unknown};
+  return cause instanceof Error ? `${messageOf(thrown)}: ${cause.message}` : messageOf(thrown);
+}
--- /dev/null
+++ b/features/support/tamper_proxy.ts
@@ -0,0 +1,137 @@
+/** Sits between entries and one sidecar and tampers with the sidecar's frames. */
+import {connect, createServer, type Server, type Socket} from 'node:net';
+import {Encoder} from 'cbor-x';
+
+const HEADER_BYTES = 4;
+
+export type Tampering =
+  | 'none'
+  | 'cut between frames'
+  | 'cut within a frame'
+  | 'drop a frame'
+  | 'double a frame'
+  | 'cross two attempts'
+  | 'replay a frame late'
+  | 'send rubbish'
+  | 'send an unknown message'
+  | 'send an oversized frame';
+
+interface AnyFrame {
+  readonly type?: string;
+  readonly attempt?: number;
+}
+
+const codec = new Encoder({useRecords: false, mapsAsObjects: true, tagUint8Array: false});
+
+export class TamperProxy {
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private readonly lastAttempts: number[] = [];
+  private chunks = 0;
+  private held: Buffer | undefined;
+
+  /**
+   * @param every - Tampers with each so-many-th chunk.
+   */
+  constructor(
+    private readonly targetPort: number,
+    private readonly tampering: Tampering,
+    private readonly every: number,
+  ) {
+    this.server = createServer(client => this.accept(client));
+  }
+
+  async listen(): Promise<number> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve));
+    const address = this.server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  close(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  private accept(client: Socket): void {
+    const upstream = connect(this.targetPort, '127.0.0.1');
+    for (const socket of [client, upstream]) {
+      this.sockets.add(socket);
+      socket.on('error', () => socket.destroy());
+    }
+    client.on('close', () => upstream.destroy());
+    upstream.on('close', () => client.destroy());
+    client.on('data', data => upstream.write(data));
+    let rest: Buffer = Buffer.alloc(0);
+    upstream.on('data', data => {
+      rest = Buffer.concat([rest, data]);
+      while (rest.length >= HEADER_BYTES) {
+        const length = HEADER_BYTES + rest.readUInt32BE(0);
+        if (rest.length < length) return;
+        this.forward(client, rest.subarray(0, length));
+        rest = rest.subarray(length);
+      }
+    });
+  }
+
+  private forward(client: Socket, frame: Buffer): void {
+    const message = codec.decode(frame.subarray(HEADER_BYTES)) as AnyFrame;
+    if (message.type !== 'chunk') {
+      client.write(frame);
+      return;
+    }
+    this.chunks += 1;
+    this.remember(message.attempt ?? 0);
+    if (this.chunks % this.every === 0) this.tamper(client, frame, message);
+    else client.write(frame);
+  }
+
+  private tamper(client: Socket, frame: Buffer, message: AnyFrame): void {
+    switch (this.tampering) {
+      case 'none':
+        client.write(frame);
+        return;
+      case 'cut between frames':
+        client.destroy();
+        return;
+      case 'cut within a frame':
+        client.end(frame.subarray(0, frame.length >> 1));
+        return;
+      case 'drop a frame':
+        return;
+      case 'double a frame':
+        client.write(Buffer.concat([frame, frame]));
+        return;
+      case 'cross two attempts':
+        client.write(encode({...message, attempt: this.otherAttempt(message.attempt ?? 0)}));
+        return;
+      case 'replay a frame late':
+        client.write(this.held === undefined ? frame : Buffer.concat([frame, this.held]));
+        this.held = Buffer.from(frame);
+        return;
+      case 'send rubbish':
+        client.write(Buffer.concat([frame, Buffer.from([0, 0, 0, 3, 0xff, 0xff, 0xff])]));
+        return;
+      case 'send an unknown message':
+        client.write(Buffer.concat([frame, encode({type: 'surprise'})]));
+        return;
+      case 'send an oversized frame':
+        client.write(Buffer.concat([frame, Buffer.from([0x7f, 0xff, 0xff, 0xff])]));
+    }
+  }
+
+  private remember(attempt: number): void {
+    if (!this.lastAttempts.includes(attempt)) this.lastAttempts.push(attempt);
+    if (this.lastAttempts.length > 4) this.lastAttempts.shift();
+  }
+
+  private otherAttempt(attempt: number): number {
+    return this.lastAttempts.find(other => other !== attempt) ?? attempt + 1;
+  }
+}
+
+function encode(message: object): Buffer {
+  const body = codec.encode(message);
+  const header = Buffer.alloc(HEADER_BYTES);
+  header.writeUInt32BE(body.length, 0);
+  return Buffer.concat([header, body]);
+}
--- a/features/support/test_fleet.ts
+++ b/features/support/test_fleet.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {sha256Hex} from '@jasminepost/core';
+import type {FleetMember, FleetOptions, UpstreamProcess} from './fleet_types.ts';
 import {FleetProcess, freePort, runToEnd, until} from './fleet_process.ts';
 
 const MESH_KEY = 'loopback-test-mesh-key';
@@ -12,46 +13,6 @@
 export const PAID_KEY = 'key-of-kowhai';
 export const TRIAL_KEY = 'key-of-anga-trial';
 
-/** One process with the addresses that it serves. */
-export interface FleetMember {
-  readonly id: string;
-  readonly zone: string;
-  readonly role: 'entry' | 'sidecar';
-  readonly meshPort: number;
-  readonly adminUrl: string;
-  /** For callers on an entry, of the upstream on a sidecar. */
-  readonly url: string;
-  process: FleetProcess;
-  listed: boolean;
-  state: 'live' | 'leaving';
-}
-
-/** An upstream stand-in; may be started again after a crash. */
-export interface UpstreamProcess {
-  readonly id: string;
-  readonly url: string;
-  readonly program: string;
-  readonly args: readonly string[];
-  process: FleetProcess;
-}
-
-export interface FleetOptions {
-  readonly engines: number;
-  readonly services: number;
-  readonly entries: number;
-  readonly models?: readonly string[];
-  readonly floorCopies?: number;
-  readonly modelMiB?: number;
-  readonly engineArgs?: readonly string[];
-  readonly sidecarArgs?: readonly string[];
-  readonly entryArgs?: readonly string[];
-  readonly listLagMs?: number;
-  readonly keyValueArgs?: readonly string[];
-  readonly organisation?: Readonly<Record<string, unknown>>;
-  /** False leaves the first configuration to the test. */
-  readonly accept?: boolean;
-}
-
 type Json = Readonly<Record<string, unknown>>;
 
 export class TestFleet {
@@ -76,6 +37,7 @@
     const entries = range(this.options.entries).map(i => this.addEntry(i));
     this.entries.push(...(await Promise.all(entries)));
     await this.publishList();
+    await this.whenMemoryKnown();
     if (this.options.accept === false) return;
     await this.accept(this.declaration());
     await this.whenServing();
@@ -86,9 +48,22 @@
     await rm(this.folder, {recursive: true, force: true});
   }
 
+  /** Waits until the list shows all processes and every engine's memory has been read. */
+  private async whenMemoryKnown(): Promise<void> {
+    await until('memory of every engine', READY_MS, async () => {
+      const shown = (await (await fetch(`${this.listUrl}/v1/instances`)).json()) as {
+        readonly instances: readonly unknown[];
+      };
+      const engines = this.sidecars.slice(0, this.options.engines);
+      const statuses = await Promise.all(engines.map(sidecar => this.status(sidecar)));
+      const complete = shown.instances.length === this.sidecars.length + this.entries.length;
+      return complete && statuses.every(s => Number(s['totalMiB']) > 0) ? true : undefined;
+    });
+  }
+
   /** Declaration with a paid and a trial organisation that may call everything. */
   declaration(change: Json = {}): Json {
-    const models = this.options.models ?? ['summary'];
+    const models = this.models();
     const services = this.options.services > 0 ? ['ledger'] : [];
     const organisation = (name: string, requestClass: string, key: string) => ({
       name,
@@ -121,6 +96,11 @@
     };
   }
 
+  /** Models that the declaration names. */
+  models(): readonly string[] {
+    return this.options.engines === 0 ? [] : (this.options.models ?? ['summary']);
+  }
+
   /** Accepts a declaration through the command line. */
   async accept(declaration: Json): Promise<void> {
     const result = await this.tryAccept(declaration, this.generation);
@@ -166,16 +146,14 @@
 
   /** Waits until every entry can serve every model and service. */
   async whenServing(): Promise<void> {
-    const models = this.options.models ?? ['summary'];
+    const models = this.models();
     await until('every model served', READY_MS, async () => {
       const statuses = await Promise.all(this.sidecars.map(s => this.status(s)));
       const copies = (model: string) =>
         statuses.filter(s => (s['models'] as string[]).includes(model)).length;
       const floor = this.options.floorCopies ?? Math.min(2, this.options.engines);
       const ready = statuses.every(s => s['ready'] === true);
-      return ready && models.every(m => this.options.engines === 0 || copies(m) >= floor)
-        ? true
-        : undefined;
+      return ready && models.every(m => copies(m) >= floor) ? true : undefined;
     });
     await until('every entry linked', READY_MS, async () => {
       const statuses = await Promise.all(this.entries.map(e => this.status(e)));
--- a/features/support/world.ts
+++ b/features/support/world.ts
@@ -1,19 +1,31 @@
 /** State of one scenario. */
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {After, AfterAll, setDefaultTimeout, setWorldConstructor, World} from '@cucumber/cucumber';
 import type {CompletionAnswer, ServiceAnswer} from './caller.ts';
-import {TestFleet, type FleetOptions} from './test_fleet.ts';
+import type {FleetProcess} from './fleet_process.ts';
+import type {LoadRun} from './load_run.ts';
+import type {FleetOptions} from './fleet_types.ts';
+import {TestFleet} from './test_fleet.ts';
 
 const STEP_TIMEOUT_MS = 90_000;
 
 export class FleetWorld extends World {
   private ownFleet: TestFleet | undefined;
   private usesShared = false;
+  private readonly folders: string[] = [];
   completion: CompletionAnswer | undefined;
   completions: CompletionAnswer[] = [];
   call: ServiceAnswer | undefined;
   calls: ServiceAnswer[] = [];
   /** Raw answer of a call that checks an error. */
   answer: {readonly status: number; readonly text: string; readonly headers: Headers} | undefined;
+  /** Processes of the scenario outside its fleet. */
+  readonly owned: FleetProcess[] = [];
+  readonly loads: LoadRun[] = [];
+  /** Run at the end of the scenario. */
+  readonly cleanups: Array<() => void> = [];
   /** Names in a list of models. */
   listed = '';
   /** Work that a later step waits for. */
@@ -40,7 +52,19 @@
     await sharedFleet.start();
   }
 
+  /** Writes a file that is gone after the scenario. */
+  async tempFile(name: string, text: string): Promise<string> {
+    const folder = await mkdtemp(join(tmpdir(), 'jasminepost-'));
+    this.folders.push(folder);
+    const file = join(folder, name);
+    await writeFile(file, text);
+    return file;
+  }
+
   async dispose(): Promise<void> {
+    await Promise.all(this.folders.map(folder => rm(folder, {recursive: true})));
+    for (const cleanup of this.cleanups) cleanup();
+    await Promise.all(this.owned.map(process => process.kill()));
     await this.ownFleet?.stop();
   }
 }
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -133,8 +133,8 @@
   remainingMs: count,
   /** Empty when the request is idempotent. */
   idempotencyKey: z.string().max(MAX_NAME),
-  /** Runs with nothing else on the upstream. */
-  isolate: z.boolean(),
+  /** Upstreams that this fingerprint has crashed; a suspect runs with nothing else. */
+  crashes: count,
   /** Tokens the caller already has. */
   resumeTokens: count,
   resumeText: z.string(),
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,4 @@
+export {Circuit} from './lib/circuit.ts';
 export {
   chooseReplica,
   type RouteCandidate,
--- a/packages/policy/src/lib/quarantine.ts
+++ b/packages/policy/src/lib/quarantine.ts
@@ -8,7 +8,7 @@
 /** @public */
 export type QuarantineDecision =
   | {readonly kind: 'normal'}
-  | {readonly kind: 'isolate'}
+  | {readonly kind: 'isolate'; readonly crashes: number}
   | {readonly kind: 'refuse'; readonly retryAfterMs: number};
 
 interface Suspicion {
@@ -80,6 +80,6 @@
 ): QuarantineDecision {
   const crashes = suspects.crashesOf(fingerprint, nowMs);
   if (crashes === 0) return {kind: 'normal'};
-  if (crashes < MAX_CRASHES) return {kind: 'isolate'};
+  if (crashes < MAX_CRASHES) return {kind: 'isolate', crashes};
   return {kind: 'refuse', retryAfterMs: Math.ceil(suspects.remainingMs(fingerprint, nowMs))};
 }
--- a/packages/policy/src/lib/routing.ts
+++ b/packages/policy/src/lib/routing.ts
@@ -15,6 +15,8 @@
   readonly sentSinceReport: number;
   /** Requests the upstream runs at once. */
   readonly slots: number;
+  /** True while the replica's circuit is open. */
+  isBlocked(nowMs: number): boolean;
 }
 
 /** @public */
@@ -29,6 +31,7 @@
   readonly crossZoneMs: number;
   /** Mean time one request holds a slot, in milliseconds. */
   readonly serviceMs: number;
+  readonly nowMs: number;
   /** Replicas already tried for this request. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -54,7 +57,7 @@
   req: RouteRequest,
   random: () => number,
 ): RouteChoice {
-  const usable = usableIndexes(candidates, req.excluded);
+  const usable = usableIndexes(candidates, req);
   if (usable.length === 0) return {kind: 'none'};
   const local = usable.filter(index => candidates[index].zone === req.zone);
   const preferred = req.prefixHash === 0 ? -1 : affinityIndex(candidates, usable, req.prefixHash);
@@ -75,15 +78,16 @@
   return {kind: 'chosen', index: best, affinity: best === preferred};
 }
 
-function usableIndexes(
-  candidates: readonly RouteCandidate[],
-  excluded: ReadonlySet<string>,
-): number[] {
-  const usable: number[] = [];
+/** Leaves out replicas with an open circuit, unless no other is left. */
+function usableIndexes(candidates: readonly RouteCandidate[], req: RouteRequest): number[] {
+  const closed: number[] = [];
+  const blocked: number[] = [];
   for (let index = 0; index < candidates.length; index++) {
-    if (!excluded.has(candidates[index].id)) usable.push(index);
+    const candidate = candidates[index];
+    if (req.excluded.has(candidate.id)) continue;
+    (candidate.isBlocked(req.nowMs) ? blocked : closed).push(index);
   }
-  return usable;
+  return closed.length > 0 ? closed : blocked;
 }
 
 /** Rendezvous hashing: losing a replica moves only that replica's prefixes. */
--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -1,5 +1,6 @@
 /** Stand-in of a model engine; docs/contracts/engine.md. */
 import type {ServerResponse} from 'node:http';
+import {fnv1a32} from '@jasminepost/core';
 import {EngineMemory, type EngineOrderBody} from './engine_memory.ts';
 import {JsonServer, parseJson, sendJson, type JsonCall} from './json_server.ts';
 
@@ -161,7 +162,7 @@
     return {
       res,
       priority: body.priority ?? 0,
-      seed: resumed?.[1] ?? Math.random().toString(36).slice(2, 8),
+      seed: resumed?.[1] ?? newSeed(prompt),
       total: body.max_tokens ?? DEFAULT_TOKENS,
       crashes: crashText !== '' && prompt.includes(crashText),
       next: body.resume?.tokens ?? 0,
@@ -211,6 +212,11 @@
   }
 }
 
+/** Names the prompt, so that an answer shows whose it is, and the generation. */
+function newSeed(prompt: string): string {
+  return `${fnv1a32(prompt).toString(36)}x${Math.random().toString(36).slice(2, 8)}`;
+}
+
 function writeEvent(res: ServerResponse, event: object): void {
   res.write(`data: ${JSON.stringify(event)}\n\n`);
 }
