Deliver the refusal of a large body, and make order tests deterministic

Cause 1 ("a body over the limit"): the entry answered 413 and closed the connection with unread bytes, so a reset could destroy the answer before the caller had read it. Ruled out: the limit itself. The rest of the body is now read and dropped, up to 8 times the limit.

Cause 2 ("sidecar killed midway"): the check wanted 2 of 6 orders answered, but which orders were claimed by the killed sidecar is chance (about 1 run in 9 leaves fewer than 2). The three rows with a fault midway now ask for 0 there, and every row has a stricter check that does not depend on chance: new orders after the fault are all answered.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -9,6 +9,7 @@
     And every order whose answers were all "not run" never ran
     And at least <answered> orders have an answer of the service
     And every final answer came within <limit> ms
+    And 3 new orders are answered
 
     Examples:
       | case                                           | fault                 | answered | limit |
@@ -19,13 +20,13 @@
       | key-value service hangs                        | key-value hangs       | 5        | 9000  |
       | key-value service slow                         | key-value slow        | 6        | 9000  |
       | key-value service lost before the answer is stored | key-value lost midway | 0    | 9000  |
-      | sidecar killed midway                          | kill sidecar midway   | 2        | 9000  |
+      | sidecar killed midway                          | kill sidecar midway   | 0        | 9000  |
       | sidecar paused before, continued after         | pause sidecar         | 6        | 9000  |
-      | sidecar paused midway, continued after         | pause sidecar midway  | 2        | 9000  |
+      | sidecar paused midway, continued after         | pause sidecar midway  | 0        | 9000  |
       | entry killed midway                            | kill entry midway     | 0        | 9000  |
       | service cuts its answers                       | service cuts          | 0        | 9000  |
       | service refuses at first                       | service refuses       | 6        | 9000  |
-      | service killed midway                          | kill service midway   | 2        | 9000  |
+      | service killed midway                          | kill service midway   | 0        | 9000  |
       | sidecar paused while claims lose their answers | pause and lose        | 5        | 9000  |
 
   Scenario: a resend gets the stored answer wherever it lands
--- a/features/steps/at_most_once_steps.ts
+++ b/features/steps/at_most_once_steps.ts
@@ -131,6 +131,17 @@
   assert.ok(slowest <= limitMs, `${slowest} ms`);
 });
 
+Then('{int} new orders are answered', async function (this: FleetWorld, count: number) {
+  const book = bookOf(this);
+  book.answers.length = 0;
+  for (const service of this.fleet.services) {
+    if (service.process.running) await this.fleet.faults(service.url, {cut: 0});
+  }
+  for (let i = 0; i < count; i++) await publish(this, i % 2, `new-${i}`);
+  const statuses = book.answers.map(({answer}) => answer.status);
+  assert.deepEqual(statuses, Array<number>(count).fill(200));
+});
+
 When(
   'the order {string} is published on entry {int}',
   async function (this: FleetWorld, key: string, entry: number) {
--- a/packages/caller/src/lib/body_reader.ts
+++ b/packages/caller/src/lib/body_reader.ts
@@ -7,19 +7,29 @@
   | {readonly kind: 'too_large'}
   | {readonly kind: 'caller_gone'};
 
-/** @internal */
+/** The rest of a body over the limit is read and dropped up to this many times the limit. */
+const DISCARD_FACTOR = 8;
+
+/**
+ * Reads a body. One over the limit is still taken from the socket, since closing a connection
+ * with unread bytes could destroy the refusal before the caller has read it.
+ *
+ * @internal
+ */
 export function readBody(req: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
   return new Promise(resolve => {
-    if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
-      resolve({kind: 'too_large'});
-      return;
-    }
     const parts: Buffer[] = [];
     let length = 0;
+    if (Number(req.headers['content-length'] ?? 0) > maxBytes) resolve({kind: 'too_large'});
     req.on('data', (part: Buffer) => {
       length += part.length;
-      if (length <= maxBytes) parts.push(part);
-      else resolve({kind: 'too_large'});
+      if (length <= maxBytes) {
+        parts.push(part);
+        return;
+      }
+      parts.length = 0;
+      resolve({kind: 'too_large'});
+      if (length > DISCARD_FACTOR * maxBytes) req.destroy();
     });
     req.on('end', () => resolve({kind: 'read', bytes: Buffer.concat(parts)}));
     req.on('error', () => resolve({kind: 'caller_gone'}));
--- a/packages/caller/src/lib/response_writer.ts
+++ b/packages/caller/src/lib/response_writer.ts
@@ -27,7 +27,6 @@
   if (failure.retryAfterMs !== undefined) {
     headers['retry-after'] = String(Math.max(1, Math.ceil(failure.retryAfterMs / 1000)));
   }
-  if (failure.code === 'body_too_large') headers['connection'] = 'close';
   res.writeHead(failure.status, headers);
   res.end(failureBody(failure, requestId));
 }
