Measure the policy, and mend routing, admission and placement by it

Cause: the decisions had no measurement.

A lost report left counts of ended requests in place, and a wait of 0 says nothing of how full a replica is. Reports now carry occupancy by class; its worth decays with age. Reserve now 0. A move must now spare more waits than a threshold set by the objective. Now one copy for each model stays and demand decides beyond.

--- a/apps/cli/src/commands/accept.ts
+++ b/apps/cli/src/commands/accept.ts
@@ -16,7 +16,7 @@
 import {readReplicas, reportCapacity} from './review.ts';
 
 /** Processes that are handed the document directly; it spreads from them. */
-const PUSH_TARGETS = 5;
+const PUSH_TARGETS = 2;
 
 /** @internal */
 export const acceptCommand = command({
--- a/apps/entry/src/lib/dispatcher.ts
+++ b/apps/entry/src/lib/dispatcher.ts
@@ -33,7 +33,6 @@
   readonly log: Logger;
   limitsOf(organisation: string): {requestsPerS: number; concurrency: number};
   targetsOf(organisation: string): {firstTokenMs: number; betweenTokensMs: number};
-  serviceMsOf(target: string): number;
   liveEntries(): number;
 }
 
--- a/apps/entry/src/lib/replica_index.ts
+++ b/apps/entry/src/lib/replica_index.ts
@@ -3,6 +3,9 @@
 import type {Fleet, Replica} from '@jasminepost/mesh';
 import {Circuit, type RouteCandidate} from '@jasminepost/policy';
 
+/** Assumed until a replica's first report. */
+const DEFAULT_SERVICE_MS = 1000;
+
 /** Live view of a replica as routing sees it. */
 class ReplicaCandidate implements RouteCandidate {
   readonly id: string;
@@ -18,16 +21,28 @@
     this.zone = replica.zone;
   }
 
-  get paidWaitMs(): number {
-    return this.replica.load?.paidWaitMs ?? 0;
+  get reportedPaid(): number {
+    return this.replica.load?.paid ?? 0;
+  }
+
+  get reportedTrial(): number {
+    return this.replica.load?.trial ?? 0;
+  }
+
+  get serviceMs(): number {
+    return Math.max(1, this.replica.load?.serviceMs ?? DEFAULT_SERVICE_MS);
+  }
+
+  get reportedMs(): number {
+    return this.replica.loadReceivedMs;
   }
 
-  get trialWaitMs(): number {
-    return this.replica.load?.trialWaitMs ?? 0;
+  get ownInFlight(): number {
+    return this.replica.inFlight;
   }
 
-  get sentSinceReport(): number {
-    return this.replica.sentSinceReport;
+  get ownAtReport(): number {
+    return this.replica.inFlightAtReport;
   }
 
   isBlocked(nowMs: number): boolean {
--- a/apps/entry/src/lib/request_run.ts
+++ b/apps/entry/src/lib/request_run.ts
@@ -137,7 +137,7 @@
         prefixHash: this.call.prefixHash,
         prefixSavingMs: PREFIX_SAVING_MS,
         crossZoneMs: context.crossZoneMs,
-        serviceMs: context.serviceMsOf(this.call.target),
+        entries: context.liveEntries(),
         nowMs: context.clock.monotonicMs(),
         excluded: this.excluded,
       },
@@ -168,7 +168,6 @@
     this.replica = replica;
     this.stream = new AttemptStream(attempt, link, this.sink);
     replica.inFlight += 1;
-    replica.sentSinceReport += 1;
     this.note('attempt', replica.id, crashes > 0 ? 'isolated' : '');
     link.send(
       startMessage(this.call, {
--- a/apps/entry/src/wire.ts
+++ b/apps/entry/src/wire.ts
@@ -38,7 +38,6 @@
 const RETRY_RESERVE = 10;
 const SUSPECT_MEMORY_MS = 600_000;
 const DEMAND_INTERVAL_MS = 10_000;
-const DEFAULT_SERVICE_MS = 1000;
 const DEFAULT_TARGETS = {firstTokenMs: 320, betweenTokensMs: 27};
 
 /** Starts an entry; resolves when it listens. @internal */
@@ -102,8 +101,6 @@
       log,
       limitsOf: name => organisation(name) ?? {requestsPerS: 0, concurrency: 0},
       targetsOf: name => organisation(name)?.targets ?? DEFAULT_TARGETS,
-      serviceMsOf: target =>
-        config.keeper.current?.models.get(target)?.serviceMs ?? DEFAULT_SERVICE_MS,
       liveEntries: () => liveEntries,
     },
     call => {
@@ -136,6 +133,11 @@
   });
   const list = new InstanceListClient(settings.instanceListUrl, settings.listIntervalMs, applyList);
   registry.gauge('requests_in_progress', 'Requests in progress.', () => dispatcher.runs.size);
+  registry.gauge(
+    'mesh_bytes',
+    'Bytes over the links that are open.',
+    () => fleet.openTraffic() + server.openTraffic(),
+  );
   registry.gauge('links', 'Open links to sidecars.', () => fleet.connected().length);
 
   function* spreadLinks(): Iterable<MeshLink> {
--- a/apps/sidecar/src/lib/load_reporter.ts
+++ b/apps/sidecar/src/lib/load_reporter.ts
@@ -2,7 +2,6 @@
 import type {LoadMessage, MeshLink, MeshServer} from '@jasminepost/mesh';
 import type {AdmissionQueue} from '@jasminepost/policy';
 import type {Attempt} from './attempt.ts';
-import type {UpstreamGate} from './upstream_gate.ts';
 
 /** @internal */
 export class LoadReporter {
@@ -10,7 +9,6 @@
 
   constructor(
     private readonly server: MeshServer,
-    private readonly gate: UpstreamGate,
     private readonly queue: AdmissionQueue<Attempt>,
     private readonly intervalMs: () => number,
   ) {}
@@ -37,10 +35,9 @@
   private message(): LoadMessage {
     return {
       type: 'load',
-      paidWaitMs: Math.round(this.queue.expectedWaitMs('paid')),
-      trialWaitMs: Math.round(this.queue.expectedWaitMs('trial')),
-      running: this.queue.running.size,
-      queued: this.gate.inProgress - this.queue.running.size,
+      paid: this.queue.occupancy('paid'),
+      trial: this.queue.occupancy('trial'),
+      serviceMs: Math.round(this.queue.meanServiceMs),
       nextMs: Math.ceil(this.intervalMs()),
     };
   }
--- a/apps/sidecar/src/lib/planner.ts
+++ b/apps/sidecar/src/lib/planner.ts
@@ -13,7 +13,9 @@
 } from '@jasminepost/platform';
 import {
   DemandTracker,
+  TRIAL_DEMAND_WEIGHT,
   planMoves,
+  thresholdsOf,
   type ModelDemand,
   type PlacementInput,
   type PlacementMove,
@@ -28,8 +30,6 @@
 const ABSENCE_GRACE_MS = 10_000;
 const DEMAND_FAST_MS = 30_000;
 const DEMAND_SLOW_MS = 600_000;
-/** Trial demand earns copies at this share of paid demand. */
-const TRIAL_WEIGHT = 0.5;
 
 interface Shard {
   version: number;
@@ -85,7 +85,7 @@
   onDemand(message: DemandMessage): void {
     for (const [model, count] of Object.entries(message.paid)) this.addCount(model, count);
     for (const [model, count] of Object.entries(message.trial)) {
-      this.addCount(model, count * TRIAL_WEIGHT);
+      this.addCount(model, count * TRIAL_DEMAND_WEIGHT);
     }
   }
 
@@ -189,14 +189,12 @@
     for (const replica of replicas) {
       for (const model of replica.planned) if (!replica.ready.has(model)) loading += 1;
     }
-    const {objective} = declaration;
-    const movesWeight = objective.moves / Math.max(0.01, objective.moves + objective.attainment);
     return {
       replicas,
       models: declaration.models.map(model => this.demandOf(model)),
       nowMs,
       budget: this.context.budget.available(loading, nowMs),
-      ...thresholdsOf(movesWeight),
+      ...thresholdsOf(declaration.objective),
     };
   }
 
@@ -266,14 +264,3 @@
     this.context.onMoves(moves);
   }
 }
-
-/** Turns the weight of moves against attainment into the thresholds of placement. */
-function thresholdsOf(
-  movesWeight: number,
-): Pick<PlacementInput, 'busyUtilisation' | 'minGain' | 'cooldownMs'> {
-  return {
-    busyUtilisation: 0.5 + 0.3 * movesWeight,
-    minGain: 0.05 + 0.3 * movesWeight,
-    cooldownMs: 5000 + 55_000 * movesWeight,
-  };
-}
--- a/apps/sidecar/src/settings.ts
+++ b/apps/sidecar/src/settings.ts
@@ -41,7 +41,7 @@
     help: 'Bytes a second to spend on load reports',
     fallback: '14500',
   },
-  paidReserve: {flag: 'paid-reserve', help: 'Slots that trial work leaves free', fallback: '1'},
+  paidReserve: {flag: 'paid-reserve', help: 'Slots that trial work leaves free', fallback: '0'},
   paidMaxWaitMs: {
     flag: 'paid-max-wait-ms',
     help: 'Longest expected wait of paid work',
@@ -50,7 +50,7 @@
   trialMaxWaitMs: {
     flag: 'trial-max-wait-ms',
     help: 'Longest expected wait of trial work',
-    fallback: '2000',
+    fallback: '250',
   },
   drainMode: {
     flag: 'drain-mode',
--- a/apps/sidecar/src/wire.ts
+++ b/apps/sidecar/src/wire.ts
@@ -123,7 +123,7 @@
     crashesOf: fingerprint => suspects.crashesOf(fingerprint, clock.monotonicMs()),
     announceSuspect,
   });
-  const reporter = new LoadReporter(server, gate, queue, () =>
+  const reporter = new LoadReporter(server, queue, () =>
     reportIntervalMs(server.links.size, settings.reportBytesPerS, settings.reportMinMs),
   );
 
@@ -173,6 +173,7 @@
   });
   registry.gauge('attempts_in_progress', 'Attempts queued or running.', () => gate.inProgress);
   registry.gauge('memory_charged_mib', 'Memory that may be in use.', () => steward.chargedMiB());
+  registry.gauge('mesh_bytes', 'Bytes over the links that are open.', () => server.openTraffic());
   registry.gauge('links', 'Open links from entries.', () => server.links.size);
 
   function limitsFor(slots: number) {
--- /dev/null
+++ b/bench/bounds.ts
@@ -0,0 +1,77 @@
+/** The stated targets as bounds on the benchmark's rows. */
+import type {BenchCase, Deployment} from './deployments.ts';
+import type {BenchPolicy} from './policies.ts';
+import type {RunResult} from './simulation.ts';
+
+const PAID_ATTAINMENT = 0.99;
+const SHARE_OF_SLACK = 0.9;
+const MOVES_RATIO = 0.5;
+/** Attainments closer than this count as equal. */
+const EQUAL_ATTAINMENT = 0.002;
+/** Below this many moves the ratio to another policy says nothing. */
+const FEW_MOVES = 20;
+
+export interface Row {
+  readonly deployment: Deployment;
+  readonly benchCase: BenchCase;
+  readonly policy: BenchPolicy;
+  readonly result: RunResult;
+}
+
+/** A target that our policy has missed. */
+export interface BrokenBound {
+  /** Name as KNOWN-RED.txt lists it. */
+  readonly name: string;
+  readonly text: string;
+}
+
+/** Targets that our policy has missed. */
+export function checkBounds(rows: readonly Row[]): BrokenBound[] {
+  return rows
+    .filter(row => row.policy.name === 'jasminepost')
+    .flatMap(own => {
+      const others = rows.filter(
+        row => row !== own && row.deployment === own.deployment && row.benchCase === own.benchCase,
+      );
+      const row = `bench: ${own.deployment.name}, ${own.benchCase.name}`;
+      return checkRow(own, others).map(({name, text}) => ({name: `${row}: ${name}`, text}));
+    });
+}
+
+function checkRow({benchCase, result}: Row, others: readonly Row[]): BrokenBound[] {
+  const broken: BrokenBound[] = [];
+  const expect = (name: string, holds: boolean, text: string) => {
+    if (!holds) broken.push({name, text});
+  };
+  const paid = result.paidAttainment;
+  expect(
+    'target',
+    paid >= PAID_ATTAINMENT,
+    `paid attainment ${paid.toFixed(4)} below ${PAID_ATTAINMENT}`,
+  );
+  const best = others.reduce((a, b) =>
+    a.result.paidAttainment >= b.result.paidAttainment ? a : b,
+  );
+  expect(
+    'attainment',
+    paid >= best.result.paidAttainment,
+    `paid attainment ${paid.toFixed(4)} below ${best.result.paidAttainment.toFixed(4)} of ${best.policy.name}`,
+  );
+  expect(
+    'reachable',
+    result.unreachable === 0,
+    `${result.unreachable} samples of an unreachable model`,
+  );
+  expect('memory', result.overMemory === 0, `${result.overMemory} samples over memory`);
+  if (benchCase.trialLoad > 1) {
+    const share = result.trialShareOfSlack;
+    expect('slack', share >= SHARE_OF_SLACK, `trial got ${share.toFixed(3)} of the slack`);
+  }
+  const lru = others.find(row => row.policy.placement === 'reactive_lru');
+  if (lru !== undefined && lru.result.moves > FEW_MOVES) {
+    const equal = paid - lru.result.paidAttainment < EQUAL_ATTAINMENT;
+    const few = result.moves <= MOVES_RATIO * lru.result.moves;
+    expect('moves', few || !equal, `${result.moves} moves, reactive LRU ${lru.result.moves}`);
+  }
+  return broken;
+}
--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -55,3 +55,28 @@
     And another attempt "a2" is granted
     And a cancel of attempt "a2" says "may_have_run"
     And a claim of attempt "a3" says "in_progress"
+
+  Scenario: what was refused as not run does not run later
+    Given a fleet of 0 engines, 1 services and 1 entries
+    And sidecar 0 is paused
+    When the order "p" is published on entry 0
+    Then the first answer says "not_run"
+    And after sidecar 0 goes on the order "p" has run 0 times
+
+  Scenario Outline: what may have run is not called not run: <call>
+    Given a fleet of 0 engines, 1 services and 1 entries
+    And the service takes 600 ms
+    When <call> while sidecar 0 is killed midway
+    Then the first answer says "may_have_run"
+
+    Examples:
+      | call                                |
+      | the order "p" is sent to "/publish" |
+      | the order "p" is sent to "/index"   |
+
+  Scenario: a lost answer to the claim costs the caller nothing
+    Given a fleet of 0 engines, 1 services and 1 entries
+    And the key-value service loses 1 answer to claims
+    When the order "p" is published on entry 0
+    Then the first answer is 200
+    And no order ran twice
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -38,7 +38,7 @@
   Scenario: a declaration whose floors do not fit is refused with the numbers
     Given a fleet of 2 engines, 0 services and 1 entries
     When an operator accepts models of 60000 MiB with 2 copies each on generation 1
-    Then the command ends with 5 and says "floorCopies: found 2, wanted at most 0"
+    Then the command ends with 5 and says "floorCopies: found 2, wanted at most 1"
 
   Scenario Outline: a declaration with <fault>
     When an operator validates a declaration with <fault>
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -24,6 +24,13 @@
       | entry 0   |
       | sidecar 0 |
 
+  Scenario: a stop lets a plain call finish that cannot go on elsewhere
+    Given a fleet of 0 engines, 1 services and 1 entries
+    And the service takes 1500 ms
+    When an order is published and sidecar 0 gets SIGTERM midway
+    Then the first answer is 200
+    And sidecar 0 ended with 0
+
   Scenario: a sidecar moves its streams when told to
     Given a fleet of 2 engines, 0 services and 2 entries whose sidecars move streams
     When 10 callers ask for 400 tokens 1 times while sidecar 0 is stopped
--- a/features/steps/at_most_once_steps.ts
+++ b/features/steps/at_most_once_steps.ts
@@ -236,3 +236,53 @@
     assert.equal(outcome.kind, kind);
   },
 );
+
+When('sidecar {int} is paused', function (this: FleetWorld, index: number) {
+  this.fleet.sidecars[index].process.signal('SIGSTOP');
+});
+
+Then('the first answer says {string}', function (this: FleetWorld, verdict: string) {
+  const [{answer}] = bookOf(this).answers;
+  assert.equal(answer.error?.verdict, verdict, JSON.stringify(answer.error));
+});
+
+Then('the first answer is {int}', function (this: FleetWorld, status: number) {
+  assert.equal(bookOf(this).answers[0].answer.status, status);
+});
+
+Then(
+  'after sidecar {int} goes on the order {string} has run {int} times',
+  async function (this: FleetWorld, index: number, key: string, times: number) {
+    this.fleet.sidecars[index].process.signal('SIGCONT');
+    await new Promise(resolve => setTimeout(resolve, 2500));
+    assert.equal((await executions(this)).get(key) ?? 0, times);
+  },
+);
+
+When(
+  'the order {string} is sent to {string} while sidecar {int} is killed midway',
+  async function (this: FleetWorld, key: string, path: string, index: number) {
+    const {url} = this.fleet.entries[0];
+    const sent = callService(url, PAID_KEY, path, key, {'idempotency-key': key});
+    await new Promise(resolve => setTimeout(resolve, MIDWAY_MS));
+    await this.fleet.sidecars[index].process.kill();
+    bookOf(this).answers.push({key, answer: await sent, elapsedMs: 0});
+  },
+);
+
+Given(
+  'the key-value service loses {int} answer to claims',
+  async function (this: FleetWorld, loseAnswers: number) {
+    await this.fleet.faults(this.fleet.keyValueUrl, {loseAnswers, losePrefix: 'claims/'});
+  },
+);
+
+When(
+  'an order is published and sidecar {int} gets SIGTERM midway',
+  async function (this: FleetWorld, index: number) {
+    const sent = publish(this, 0, 'stopped');
+    await new Promise(resolve => setTimeout(resolve, MIDWAY_MS));
+    this.fleet.sidecars[index].process.signal('SIGTERM');
+    await sent;
+  },
+);
--- a/features/support/fleet_process.ts
+++ b/features/support/fleet_process.ts
@@ -3,7 +3,8 @@
 import {createServer} from 'node:net';
 import {fileURLToPath} from 'node:url';
 
-const DIST = fileURLToPath(new URL('../../dist/', import.meta.url));
+const DIST =
+  process.env['JASMINEPOST_DIST'] ?? fileURLToPath(new URL('../../dist', import.meta.url));
 const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 25;
 
@@ -46,7 +47,7 @@
     readonly program: string,
     readonly args: readonly string[],
   ) {
-    this.child = spawn(process.execPath, [`${DIST}${program}.js`, ...args], {
+    this.child = spawn(process.execPath, [`${DIST}/${program}.js`, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     const keep = (data: Buffer) => this.log.push(data.toString('utf8'));
--- a/features/support/fleet_types.ts
+++ b/features/support/fleet_types.ts
@@ -37,6 +37,9 @@
   readonly listLagMs?: number;
   readonly keyValueArgs?: readonly string[];
   readonly organisation?: Readonly<Record<string, unknown>>;
+  /** True: all service sidecars stand before one service stand-in. */
+  readonly sharedService?: boolean;
+  readonly listIntervalMs?: number;
   /** False leaves the first configuration to the test. */
   readonly accept?: boolean;
 }
--- a/features/support/test_fleet.ts
+++ b/features/support/test_fleet.ts
@@ -24,6 +24,7 @@
   listUrl = '';
   generation = 0;
   private readonly processes: FleetProcess[] = [];
+  private readonly startingServices: Array<Promise<UpstreamProcess>> = [];
   private folder = '';
 
   constructor(readonly options: FleetOptions) {}
@@ -219,6 +220,23 @@
   }
 
   private async addService(index: number): Promise<FleetMember> {
+    const {url} = await this.serviceAt(this.options.sharedService === true ? 0 : index);
+    const sidecar = await this.newSidecar(`ledger-${index}`, zoneOf(index), url, [
+      '--upstream-kind',
+      'service',
+      '--service',
+      'ledger',
+    ]);
+    return sidecar;
+  }
+
+  /** Starts the service stand-in of an index once. */
+  private serviceAt(index: number): Promise<UpstreamProcess> {
+    this.startingServices[index] ??= this.startService(index);
+    return this.startingServices[index];
+  }
+
+  private async startService(index: number): Promise<UpstreamProcess> {
     const port = await freePort();
     const args = ['--listen', `127.0.0.1:${port}`];
     const url = `http://127.0.0.1:${port}`;
@@ -231,13 +249,7 @@
       args,
       process,
     };
-    const sidecar = await this.newSidecar(`ledger-${index}`, zoneOf(index), url, [
-      '--upstream-kind',
-      'service',
-      '--service',
-      'ledger',
-    ]);
-    return sidecar;
+    return this.services[index];
   }
 
   private async addEntry(index: number): Promise<FleetMember> {
@@ -350,7 +362,7 @@
       '--mesh',
       `127.0.0.1:${mesh}`,
       '--list-interval-ms',
-      '200',
+      String(this.options.listIntervalMs ?? 200),
       ...this.keyValueFlags(),
       ...this.fleetFlags(),
     ];
--- a/packages/mesh/src/lib/fleet.ts
+++ b/packages/mesh/src/lib/fleet.ts
@@ -26,10 +26,9 @@
   load: LoadMessage | undefined;
   loadReceivedMs: number;
   listedLeaving: boolean;
-  /** Requests this process has sent since the last load report. */
-  sentSinceReport: number;
-  /** Attempts of this process in progress there. */
+  /** Attempts of this process in progress there, now and at the last load report. */
   inFlight: number;
+  inFlightAtReport: number;
 }
 
 /** @public */
@@ -68,6 +67,15 @@
     return [...this.replicas.values()].filter(replica => replica.client.link !== undefined);
   }
 
+  /** Bytes sent and received over the links that are open. */
+  openTraffic(): number {
+    let bytes = 0;
+    for (const {client} of this.replicas.values()) {
+      bytes += (client.link?.bytesSent ?? 0) + (client.link?.bytesReceived ?? 0);
+    }
+    return bytes;
+  }
+
   broadcast(message: MeshMessage): void {
     for (const replica of this.replicas.values()) replica.client.link?.send(message);
   }
@@ -103,8 +111,8 @@
       load: undefined,
       loadReceivedMs: 0,
       listedLeaving: address.leaving,
-      sentSinceReport: 0,
       inFlight: 0,
+      inFlightAtReport: 0,
     };
     this.replicas.set(address.id, replica);
   }
@@ -129,7 +137,7 @@
       case 'load':
         replica.load = message;
         replica.loadReceivedMs = performance.now();
-        replica.sentSinceReport = 0;
+        replica.inFlightAtReport = replica.inFlight;
         replica.client.silenceLimitMs = Math.max(2000, MISSED_REPORTS * message.nextMs);
         return;
       default:
--- a/packages/mesh/src/lib/mesh_server.ts
+++ b/packages/mesh/src/lib/mesh_server.ts
@@ -47,6 +47,13 @@
     for (const link of this.links) link.sendFrame(frame);
   }
 
+  /** Bytes sent and received over the links that are open. */
+  openTraffic(): number {
+    let bytes = 0;
+    for (const link of this.links) bytes += link.bytesSent + link.bytesReceived;
+    return bytes;
+  }
+
   /** Stops listening and closes the links after their queued frames. */
   close(): void {
     this.server.close();
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -86,13 +86,14 @@
   slots: count,
 });
 
-/** Expected wait per class; also the heartbeat. */
+/** Work at the upstream; also the heartbeat. */
 const load = z.object({
   type: z.literal('load'),
-  paidWaitMs: count,
-  trialWaitMs: count,
-  running: count,
-  queued: count,
+  /** Requests running or queued. */
+  paid: count,
+  trial: count,
+  /** Mean time one request holds a slot. */
+  serviceMs: count,
   /** Longest time until the next report. */
   nextMs: count,
 });
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -20,15 +20,15 @@
   type LedgerRefusal,
   type OrderRecord,
 } from './lib/memory_ledger.ts';
+export {checkFloors, type FloorShortage} from './lib/floor_check.ts';
 export {
-  checkFloors,
   planMoves,
-  type FloorShortage,
   type ModelDemand,
   type PlacementInput,
   type PlacementMove,
   type ReplicaState,
 } from './lib/placement.ts';
-export {DemandTracker} from './lib/demand.ts';
+export {thresholdsOf, type Objective} from './lib/placement_objective.ts';
+export {DemandTracker, TRIAL_DEMAND_WEIGHT} from './lib/demand.ts';
 export {OrganisationLimiter, type LimitRefusal} from './lib/organisation_limiter.ts';
 export {reportIntervalMs} from './lib/report_interval.ts';
--- a/packages/policy/src/lib/admission.ts
+++ b/packages/policy/src/lib/admission.ts
@@ -44,6 +44,18 @@
     this.limits = limits;
   }
 
+  /** Requests running or queued. */
+  occupancy(requestClass: RequestClass): number {
+    const queued = requestClass === 'paid' ? this.paid.length : this.trial.length;
+    const paid = this.runningPaid();
+    return queued + (requestClass === 'paid' ? paid : this.running.size - paid);
+  }
+
+  /** Mean time one request holds a slot, in milliseconds. */
+  get meanServiceMs(): number {
+    return this.serviceMs;
+  }
+
   get queued(): number {
     return this.paid.length + this.trial.length;
   }
--- a/packages/policy/src/lib/demand.ts
+++ b/packages/policy/src/lib/demand.ts
@@ -1,5 +1,8 @@
 /** Request rates per model at two time scales. */
 
+/** Trial demand earns copies at this share of paid demand. @public */
+export const TRIAL_DEMAND_WEIGHT = 0.1;
+
 interface Rates {
   fastPerS: number;
   slowPerS: number;
--- a/packages/policy/src/lib/routing.ts
+++ b/packages/policy/src/lib/routing.ts
@@ -3,16 +3,24 @@
 
 const HASH_MIX = 0x9e3779b1;
 
+/** Cost of a full replica that has no queue yet: it is the next to have one. */
+const CROWDING_MS = 100;
+
 /** What routing knows of one replica that is ready for the request's model. @public */
 export interface RouteCandidate {
   readonly id: string;
   readonly idHash: number;
   readonly zone: string;
-  /** Expected wait by class in milliseconds, as last reported. */
-  readonly paidWaitMs: number;
-  readonly trialWaitMs: number;
-  /** Requests sent by this process since that report. */
-  readonly sentSinceReport: number;
+  /** Requests running or queued by class, as last reported. */
+  readonly reportedPaid: number;
+  readonly reportedTrial: number;
+  /** Mean time one request holds a slot there, in milliseconds. */
+  readonly serviceMs: number;
+  /** Monotonic time at which the report arrived. */
+  readonly reportedMs: number;
+  /** Requests of this process in progress there now, and when the report arrived. */
+  readonly ownInFlight: number;
+  readonly ownAtReport: number;
   /** Requests the upstream runs at once. */
   readonly slots: number;
   /** True while the replica's circuit is open. */
@@ -29,8 +37,8 @@
   readonly prefixSavingMs: number;
   /** Round trip to another availability zone, in milliseconds. */
   readonly crossZoneMs: number;
-  /** Mean time one request holds a slot, in milliseconds. */
-  readonly serviceMs: number;
+  /** Entries that share the replicas. */
+  readonly entries: number;
   readonly nowMs: number;
   /** Replicas already tried for this request. */
   readonly excluded: ReadonlySet<string>;
@@ -111,8 +119,26 @@
 
 /** Expected milliseconds to the first token, less what a cached prefix saves. */
 function scoreOf(candidate: RouteCandidate, req: RouteRequest, preferred: boolean): number {
-  const reported = req.class === 'paid' ? candidate.paidWaitMs : candidate.trialWaitMs;
-  const own = (candidate.sentSinceReport * req.serviceMs) / Math.max(1, candidate.slots);
-  const travel = candidate.zone === req.zone ? 0 : req.crossZoneMs;
-  return reported + own + travel - (preferred ? req.prefixSavingMs : 0);
+  const occupancy = expectedOccupancy(candidate, req);
+  const excess = Math.max(0, occupancy + 1 - candidate.slots);
+  const waitMs = (excess / candidate.slots) * candidate.serviceMs;
+  const crowdingMs = (occupancy / candidate.slots) * CROWDING_MS;
+  const travelMs = candidate.zone === req.zone ? 0 : req.crossZoneMs;
+  return waitMs + crowdingMs + travelMs - (preferred ? req.prefixSavingMs : 0);
+}
+
+/**
+ * Requests that compete with this one. A report loses its worth as the requests in it end; what
+ * replaces it is this process's own share, taken as typical of all entries.
+ */
+function expectedOccupancy(candidate: RouteCandidate, req: RouteRequest): number {
+  const ageMs = Math.max(0, req.nowMs - candidate.reportedMs);
+  const worth = Math.exp(-ageMs / candidate.serviceMs);
+  // Paid work takes the place of trial work, so only paid work stands in its way.
+  const reported =
+    req.class === 'paid'
+      ? candidate.reportedPaid
+      : candidate.reportedPaid + candidate.reportedTrial;
+  const sinceReport = reported + candidate.ownInFlight - candidate.ownAtReport;
+  return worth * Math.max(0, sinceReport) + (1 - worth) * candidate.ownInFlight * req.entries;
 }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,6 @@
 // Bundles each program into one file under dist/; npm packages stay external.
 import {build} from 'esbuild';
-import {readdirSync} from 'node:fs';
+import {readdirSync, readFileSync} from 'node:fs';
 
 const entryPoints = {
   'jasminepost-entry': 'apps/entry/src/main.ts',
@@ -13,6 +13,21 @@
   }
 }
 
+// `npm run mutants` builds with one mechanism switched off.
+const mutant = JSON.parse(process.env.JASMINEPOST_MUTANT ?? 'null');
+
+const applyMutant = {
+  name: 'apply-mutant',
+  setup(ctx) {
+    if (mutant === null) return;
+    ctx.onLoad({filter: new RegExp(`${mutant.file}$`)}, args => {
+      const text = readFileSync(args.path, 'utf8');
+      if (!text.includes(mutant.find)) throw new Error(`${mutant.file} lacks ${mutant.find}`);
+      return {contents: text.replace(mutant.find, mutant.replace), loader: 'ts'};
+    });
+  },
+};
+
 const externalPackages = {
   name: 'external-packages',
   setup(ctx) {
@@ -26,7 +41,7 @@
 
 await build({
   entryPoints,
-  outdir: 'dist',
+  outdir: process.env.JASMINEPOST_DIST ?? 'dist',
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -34,5 +49,5 @@
   sourcemap: true,
   logLevel: 'warning',
   banner: {js: '#!/usr/bin/env node'},
-  plugins: [externalPackages],
+  plugins: [applyMutant, externalPackages],
 });
--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -6,9 +6,9 @@
 import {existsSync, mkdtempSync, readFileSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {readKnownRed} from './known_red.ts';
 
 const CUCUMBER = 'node_modules/@cucumber/cucumber/bin/cucumber.js';
-const KNOWN_RED = 'KNOWN-RED.txt';
 const PARALLEL = '3';
 
 interface Step {
@@ -42,17 +42,6 @@
   return existsSync(report) ? (JSON.parse(readFileSync(report, 'utf8')) as Feature[]) : [];
 }
 
-/** First column of each entry: `feature: scenario`. */
-function readKnownRed(): Set<string> {
-  if (!existsSync(KNOWN_RED)) return new Set();
-  const lines = readFileSync(KNOWN_RED, 'utf8').split('\n');
-  return new Set(
-    lines
-      .filter(line => line.trim() !== '' && !line.startsWith('#'))
-      .map(line => line.split('|', 1)[0].trim()),
-  );
-}
-
 async function main(): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'jasminepost-report-'));
   const given = process.argv.slice(2);
@@ -79,7 +68,7 @@
       }
     }
   }
-  if (red > 0) process.stdout.write(`${red} known red, see ${KNOWN_RED}\n`);
+  if (red > 0) process.stdout.write(`${red} known red, see KNOWN-RED.txt\n`);
   if (passed + failed + red === 0) failed = 1;
   process.stdout.write(`${passed} passed, ${failed} failed\n`);
   process.exit(failed === 0 ? 0 : 1);
