--- a/features/steps/configuration_steps.ts
+++ b/features/steps/configuration_steps.ts
@@ -1,6 +1,7 @@
 /** Steps about configurations, declarations and settings. */
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
 import {runToEnd, until} from '../support/fleet_process.ts';
 import type {FleetMember} from '../support/fleet_types.ts';
 import {TestFleet} from '../support/test_fleet.ts';
@@ -16,10 +17,6 @@
 const results = new WeakMap<FleetWorld, CommandResult[]>();
 const generations = new WeakMap<FleetWorld, Map<string, number[]>>();
 
-function wait(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 function members(fleet: TestFleet): FleetMember[] {
   return [...fleet.entries, ...fleet.sidecars];
 }
@@ -75,7 +72,7 @@
   'and 1 entry is paused for 3 s': async (world, accept) => {
     world.fleet.entries[0].process.signal('SIGSTOP');
     await accept();
-    await wait(3000);
+    await sleep(3000);
     world.fleet.entries[0].process.signal('SIGCONT');
   },
 };
@@ -99,7 +96,7 @@
 );
 
 Then('no process ever went back', async function (this: FleetWorld) {
-  await wait(500);
+  await sleep(500);
   for (const [id, seen] of generations.get(this)!) {
     // A restarted process knows no configuration until a peer has told it.
     const known = seen.filter(generation => generation > 0);
--- a/features/steps/leaving_steps.ts
+++ b/features/steps/leaving_steps.ts
@@ -1,6 +1,7 @@
 /** Steps about leaving and graceful stops. */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
 import {Balancer} from '../support/balancer.ts';
 import {until} from '../support/fleet_process.ts';
 import type {FleetMember} from '../support/fleet_types.ts';
@@ -11,10 +12,6 @@
 const WARM_UP_MS = 500;
 const READY_MS = 20_000;
 
-function wait(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 function memberOf(world: FleetWorld, role: string, index: string): FleetMember {
   return (role === 'entry' ? world.fleet.entries : world.fleet.sidecars)[Number(index)];
 }
@@ -48,7 +45,7 @@
   'sidecar 0 gets SIGTERM': async world => world.fleet.sidecars[0].process.signal('SIGTERM'),
   'sidecar 0 gets SIGTERM twice': async world => {
     world.fleet.sidecars[0].process.signal('SIGTERM');
-    await wait(50);
+    await sleep(50);
     world.fleet.sidecars[0].process.signal('SIGTERM');
   },
   'the operator drains sidecar 0': async world => {
@@ -65,15 +62,8 @@
 When(
   /^callers keep asking for (\d+) tokens and (.+)$/,
   async function (this: FleetWorld, tokens: string, signal: string) {
-    const {entries} = this.fleet;
-    const load = new LoadRun({
-      callers: 8,
-      tokens: Number(tokens),
-      key: PAID_KEY,
-      url: caller => entries[caller % entries.length].url,
-    });
-    this.loads.push(load);
-    await wait(WARM_UP_MS);
+    this.startLoad(8, Number(tokens));
+    await sleep(WARM_UP_MS);
     assert.ok((await started(this)) > 0, 'engine 0 got no work before');
     await SIGNALS[signal](this);
   },
@@ -82,9 +72,9 @@
 Then(
   'engine {int} starts nothing later than {int} ms after it',
   async function (this: FleetWorld, _engine: number, limitMs: number) {
-    await wait(limitMs);
+    await sleep(limitMs);
     const before = await started(this);
-    await wait(1500);
+    await sleep(1500);
     assert.equal(await started(this), before);
     for (const load of this.loads) await load.stop();
   },
@@ -100,16 +90,8 @@
     role: string,
     index: string,
   ) {
-    const {entries} = this.fleet;
-    const load = new LoadRun({
-      callers: Number(callers),
-      tokens: Number(tokens),
-      requests: Number(requests),
-      key: PAID_KEY,
-      url: caller => entries[caller % entries.length].url,
-    });
-    this.loads.push(load);
-    await wait(WARM_UP_MS);
+    const load = this.startLoad(Number(callers), Number(tokens), Number(requests));
+    await sleep(WARM_UP_MS);
     const member = memberOf(this, role, index);
     const stoppedMs = performance.now();
     member.process.signal('SIGTERM');
@@ -131,7 +113,7 @@
   'sidecar {int} ended within {int} ms',
   async function (this: FleetWorld, index: number, limitMs: number) {
     await this.fleet.sidecars[index].process.exited;
-    await wait(0);
+    await sleep(0);
     const stopMs = this.notes.get('stopMs')!;
     assert.ok(stopMs <= limitMs, `${stopMs} ms`);
   },
@@ -146,7 +128,7 @@
     const url = () => balancer.url();
     const load = new LoadRun({callers: 10, tokens, key: PAID_KEY, url});
     this.loads.push(load);
-    await wait(WARM_UP_MS);
+    await sleep(WARM_UP_MS);
     for (const member of [...fleet.sidecars, ...fleet.entries]) {
       member.process.signal('SIGTERM');
       assert.equal(await member.process.exited, 0, member.process.log.slice(-3).join(''));
@@ -157,7 +139,7 @@
       });
       await fleet.whenServing();
     }
-    await wait(WARM_UP_MS);
+    await sleep(WARM_UP_MS);
     await load.stop();
   },
 );
--- a/features/steps/resilience_steps.ts
+++ b/features/steps/resilience_steps.ts
@@ -1,11 +1,10 @@
 /** Steps about crashes, retries, outages and memory. */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {CounterFamily} from '@jasminepost/core';
+import {CounterFamily, sleep} from '@jasminepost/core';
 import {HelloGuard, MeshClient, type LinkFault} from '@jasminepost/mesh';
 import {callService, complete, type CompletionAnswer} from '../support/caller.ts';
 import {until} from '../support/fleet_process.ts';
-import {LoadRun} from '../support/load_run.ts';
 import {PAID_KEY} from '../support/test_fleet.ts';
 import type {FleetWorld} from '../support/world.ts';
 
@@ -14,10 +13,6 @@
 const ORDER_FAULTS_AT_ONCE = 2;
 const LATE_MS = 1200;
 
-function wait(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 Given(
   'a fleet of {int} engines, {int} services and {int} entries that crash on {string}',
   async function (
@@ -37,9 +32,8 @@
   async function (this: FleetWorld, tokens: number, prompt: string, times: number) {
     const {entries} = this.fleet;
     const url = (caller: number) => entries[caller % entries.length].url;
-    const load = new LoadRun({callers: 8, tokens, key: PAID_KEY, url});
-    this.loads.push(load);
-    await wait(WARM_UP_MS);
+    const load = this.startLoad(8, tokens);
+    await sleep(WARM_UP_MS);
     for (let i = 0; i < times; i++) {
       this.completion = await complete({url: url(i), key: PAID_KEY, tokens, prompt});
       this.completions.push(this.completion);
@@ -122,15 +116,14 @@
   async function (this: FleetWorld, seconds: number, tokens: number) {
     const {fleet} = this;
     const url = (caller: number) => fleet.entries[caller % fleet.entries.length].url;
-    const load = new LoadRun({callers: 6, tokens, key: PAID_KEY, url});
-    this.loads.push(load);
+    const load = this.startLoad(6, tokens);
     await fleet.faults(fleet.keyValueUrl, {outage: 'hang'});
-    await wait(seconds * 500);
+    await sleep(seconds * 500);
     this.call = await callService(url(0), PAID_KEY, '/publish', 'x', {'idempotency-key': 'o1'});
     const declaration = fleet.declaration({objective: {attainment: 1, moves: 0}});
     const accept = await fleet.tryAccept(declaration, fleet.generation);
     this.notes.set('acceptCode', accept.code);
-    await wait(seconds * 500);
+    await sleep(seconds * 500);
     await fleet.faults(fleet.keyValueUrl, {outage: 'none'});
     await load.stop();
   },
@@ -169,7 +162,7 @@
       const status = await this.fleet.status(entry);
       return Number(status['replicas']) === this.fleet.sidecars.length ? true : undefined;
     });
-    await wait(WARM_UP_MS);
+    await sleep(WARM_UP_MS);
     this.completion = await complete({url: entry.url, key: PAID_KEY, tokens});
   },
 );
@@ -207,7 +200,7 @@
         await fleet.faults(engine.url, {[field]: ORDER_FAULTS_AT_ONCE, lateMs: LATE_MS});
       }
       await fleet.accept(swapped(this, i));
-      await wait(1000);
+      await sleep(1000);
       if (i === 1) await fleet.restart(fleet.sidecars[0]);
     }
   },
--- a/features/steps/stream_steps.ts
+++ b/features/steps/stream_steps.ts
@@ -1,6 +1,7 @@
 /** Steps about whole and own answers. */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
 import {complete} from '../support/caller.ts';
 import {LoadRun} from '../support/load_run.ts';
 import {TamperProxy, type Tampering} from '../support/tamper_proxy.ts';
@@ -15,12 +16,12 @@
   'a sidecar is paused': async fleet => fleet.sidecars[0].process.signal('SIGSTOP'),
   'a sidecar is paused and continued': async fleet => {
     fleet.sidecars[0].process.signal('SIGSTOP');
-    await wait(3000);
+    await sleep(3000);
     fleet.sidecars[0].process.signal('SIGCONT');
   },
   'two sidecars are killed one by one': async fleet => {
     await fleet.sidecars[0].process.kill();
-    await wait(150);
+    await sleep(150);
     await fleet.sidecars[1].process.kill();
   },
   'a sidecar is stopped': async fleet => fleet.sidecars[0].process.signal('SIGTERM'),
@@ -29,10 +30,6 @@
   },
 };
 
-function wait(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 Given(
   'a fleet of {int} engines, {int} services and {int} entries with {int} copies',
   async function (
@@ -71,7 +68,7 @@
     this.fleet.sidecars[0] = {...sidecar, meshPort};
     await this.fleet.publishList();
     // The list lags; entries then move their link to the proxy.
-    await wait(1500);
+    await sleep(1500);
   },
 );
 
@@ -84,16 +81,8 @@
     requests: string,
     fault: string | null,
   ) {
-    const {entries} = this.fleet;
-    const load = new LoadRun({
-      callers: Number(callers),
-      tokens: Number(tokens),
-      requests: Number(requests),
-      key: PAID_KEY,
-      url: caller => entries[caller % entries.length].url,
-    });
-    this.loads.push(load);
-    await wait(MIDWAY_MS);
+    const load = this.startLoad(Number(callers), Number(tokens), Number(requests));
+    await sleep(MIDWAY_MS);
     if (fault !== null) await STREAM_FAULTS[fault](this.fleet);
     await load.whenDone();
   },
@@ -147,7 +136,7 @@
       tokens,
       headers: {'x-request-timeout-ms': String(timeoutMs)},
     });
-    await wait(MIDWAY_MS);
+    await sleep(MIDWAY_MS);
     await this.fleet.engines[0].process.kill();
     this.completion = await answer;
   },
@@ -174,7 +163,7 @@
     const url = () => this.fleet.entries[0].url;
     const slow = {callers: trial, tokens: trialTokens, requests: 1, key: TRIAL_KEY, url};
     this.loads.push(new LoadRun(slow));
-    await wait(MIDWAY_MS);
+    await sleep(MIDWAY_MS);
     const fast = {callers: paid, tokens: paidTokens, requests: 1, key: PAID_KEY, url};
     this.loads.push(new LoadRun(fast));
     await Promise.all(this.loads.map(load => load.whenDone()));
--- a/features/support/world.ts
+++ b/features/support/world.ts
@@ -5,9 +5,9 @@
 import {After, AfterAll, setDefaultTimeout, setWorldConstructor, World} from '@cucumber/cucumber';
 import type {CompletionAnswer, ServiceAnswer} from './caller.ts';
 import type {FleetProcess} from './fleet_process.ts';
-import type {LoadRun} from './load_run.ts';
+import {LoadRun} from './load_run.ts';
 import type {FleetOptions} from './fleet_types.ts';
-import {TestFleet} from './test_fleet.ts';
+import {PAID_KEY, TestFleet} from './test_fleet.ts';
 
 const STEP_TIMEOUT_MS = 90_000;
 
@@ -52,6 +52,20 @@
     await sharedFleet.start();
   }
 
+  /** Starts callers that are spread over the entries; steps and checks find them in `loads`. */
+  startLoad(callers: number, tokens: number, requests?: number): LoadRun {
+    const {entries} = this.fleet;
+    const load = new LoadRun({
+      callers,
+      tokens,
+      key: PAID_KEY,
+      url: caller => entries[caller % entries.length].url,
+      ...(requests === undefined ? {} : {requests}),
+    });
+    this.loads.push(load);
+    return load;
+  }
+
   /** Writes a file that is gone after the scenario. */
   async tempFile(name: string, text: string): Promise<string> {
     const folder = await mkdtemp(join(tmpdir(), 'jasminepost-'));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export {assert, exhaustive} from './lib/assert.ts';
 export {SystemClock, type Clock} from './lib/clock.ts';
+export {checkDaemonSettings, DAEMON_SETTINGS, type DaemonSettings} from './lib/daemon_settings.ts';
 export {Disposer, type Disposable} from './lib/disposer.ts';
 export {
   DeclarationError,
@@ -23,6 +24,9 @@
 export {AdminServer, type AdminState} from './lib/admin_server.ts';
 export {installStopSignals} from './lib/stop_signals.ts';
 export {
+  COMPLETED_REASONS,
+  MAY_HAVE_RUN_REASONS,
+  NOT_RUN_REASONS,
   completed,
   mayHaveRun,
   neverSent,
--- a/packages/core/src/lib/verdict.ts
+++ b/packages/core/src/lib/verdict.ts
@@ -1,37 +1,48 @@
 /** Says whether a request may have run; the only thing that retries look at. */
 
 /** Why a request certainly did not run. @public */
-export type NotRunReason =
-  | 'cancelled_before_claim'
-  | 'claim_store_unavailable'
-  | 'connect_failed'
-  | 'deadline_passed'
-  | 'key_reused'
-  | 'leaving'
-  | 'model_not_ready'
-  | 'no_replica'
-  | 'not_written'
-  | 'organisation_limit'
-  | 'queue_full'
-  | 'quarantined'
-  | 'retry_budget_spent'
-  | 'upstream_refused'
-  | 'upstream_unhealthy';
+export const NOT_RUN_REASONS = [
+  'cancelled_before_claim',
+  'claim_store_unavailable',
+  'connect_failed',
+  'deadline_passed',
+  'key_reused',
+  'leaving',
+  'model_not_ready',
+  'no_replica',
+  'not_written',
+  'organisation_limit',
+  'queue_full',
+  'quarantined',
+  'retry_budget_spent',
+  'upstream_refused',
+  'upstream_unhealthy',
+] as const;
+
+/** @public */
+export type NotRunReason = (typeof NOT_RUN_REASONS)[number];
 
 /** Why a request may have run, wholly or in part. @public */
-export type MayHaveRunReason =
-  | 'caller_gone'
-  | 'claim_outcome_unknown'
-  | 'deadline_passed'
-  | 'link_lost'
-  | 'preempted'
-  | 'prior_attempt_unresolved'
-  | 'sidecar_moving'
-  | 'upstream_crashed'
-  | 'upstream_cut';
+export const MAY_HAVE_RUN_REASONS = [
+  'caller_gone',
+  'claim_outcome_unknown',
+  'deadline_passed',
+  'link_lost',
+  'preempted',
+  'prior_attempt_unresolved',
+  'sidecar_moving',
+  'upstream_crashed',
+  'upstream_cut',
+] as const;
+
+/** @public */
+export type MayHaveRunReason = (typeof MAY_HAVE_RUN_REASONS)[number];
 
 /** How a request ran to its end. @public */
-export type CompletedReason = 'answered' | 'replayed';
+export const COMPLETED_REASONS = ['answered', 'replayed'] as const;
+
+/** @public */
+export type CompletedReason = (typeof COMPLETED_REASONS)[number];
 
 /** @public */
 export type Verdict =
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -1,6 +1,13 @@
 /** Messages between our own processes and the checks on what a peer sends. */
 import {z} from 'zod';
-import {err, ok, type Result} from '@jasminepost/core';
+import {
+  COMPLETED_REASONS,
+  err,
+  MAY_HAVE_RUN_REASONS,
+  NOT_RUN_REASONS,
+  ok,
+  type Result,
+} from '@jasminepost/core';
 
 const MAX_NAME = 256;
 const name = z.string().min(1).max(MAX_NAME);
@@ -16,40 +23,10 @@
   zone: name,
 });
 
-const notRunReasons = [
-  'cancelled_before_claim',
-  'claim_store_unavailable',
-  'connect_failed',
-  'deadline_passed',
-  'key_reused',
-  'leaving',
-  'model_not_ready',
-  'no_replica',
-  'not_written',
-  'organisation_limit',
-  'queue_full',
-  'quarantined',
-  'retry_budget_spent',
-  'upstream_refused',
-  'upstream_unhealthy',
-] as const;
-
-const mayHaveRunReasons = [
-  'caller_gone',
-  'claim_outcome_unknown',
-  'deadline_passed',
-  'link_lost',
-  'preempted',
-  'prior_attempt_unresolved',
-  'sidecar_moving',
-  'upstream_crashed',
-  'upstream_cut',
-] as const;
-
 const verdict = z.discriminatedUnion('kind', [
-  z.object({kind: z.literal('not_run'), reason: z.enum(notRunReasons)}),
-  z.object({kind: z.literal('may_have_run'), reason: z.enum(mayHaveRunReasons)}),
-  z.object({kind: z.literal('completed'), reason: z.enum(['answered', 'replayed'])}),
+  z.object({kind: z.literal('not_run'), reason: z.enum(NOT_RUN_REASONS)}),
+  z.object({kind: z.literal('may_have_run'), reason: z.enum(MAY_HAVE_RUN_REASONS)}),
+  z.object({kind: z.literal('completed'), reason: z.enum(COMPLETED_REASONS)}),
 ]);
 
 const challenge = z.object({type: z.literal('challenge'), nonce: name});
