Test the planner's takeover and the spread without watches

Cause: the second run of the mutants left one alive: with the spread between peers switched off, the configuration still reached everybody, because watches of 5 s came round before the outage. The eight rows now run with watches of 30 s, so that only peers can carry the change in time; they pass.

New: a paused planner wakes after another has taken over and a model was added; no shard of the plan goes back to the older term, and both models are served (26 s).

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -1,7 +1,7 @@
 Feature: An accepted configuration is in force everywhere within seconds and never goes back
 
   Scenario Outline: in force everywhere, <fault>
-    Given a fleet of 2 engines, 1 services and 3 entries
+    Given a fleet of 2 engines, 1 services and 3 entries with watches of 30000 ms
     When a configuration is accepted, <fault>
     Then every process has generation 2 within 9000 ms
     And no process ever went back
--- a/features/resilience.feature
+++ b/features/resilience.feature
@@ -53,3 +53,9 @@
     Given a fleet of 0 engines, 1 services and 1 entries
     When a peer with a wrong key connects to sidecar 0
     Then the link is cut and sidecars counted "hello_refused"
+
+  Scenario: a paused planner that wakes does not undo its successor's plan
+    Given a fleet of 3 engines, 0 services and 1 entries
+    When the planner is paused until another plans, a model is added, and the first goes on
+    Then every shard of the plan keeps the newer term
+    And the models "summary" and "second" are served
--- a/features/steps/fleet_steps.ts
+++ b/features/steps/fleet_steps.ts
@@ -52,3 +52,17 @@
 Given('a fleet without a configuration', async function (this: FleetWorld) {
   await this.startFleet({engines: 1, services: 0, entries: 1, accept: false});
 });
+
+Given(
+  'a fleet of {int} engines, {int} services and {int} entries with watches of {int} ms',
+  async function (
+    this: FleetWorld,
+    engines: number,
+    services: number,
+    entries: number,
+    watchMs: number,
+  ) {
+    const args = ['--watch-ms', String(watchMs)];
+    await this.startFleet({engines, services, entries, entryArgs: args, sidecarArgs: args});
+  },
+);
--- a/features/steps/resilience_steps.ts
+++ b/features/steps/resilience_steps.ts
@@ -264,3 +264,64 @@
     assert.ok((counts[reason] ?? 0) > 0, JSON.stringify(counts));
   },
 );
+
+/** Sidecar that plans, with its term. */
+async function findPlanner(
+  world: FleetWorld,
+  except: string,
+): Promise<{readonly index: number; readonly term: number} | undefined> {
+  const {fleet} = world;
+  for (const [index, sidecar] of fleet.sidecars.entries()) {
+    if (sidecar.id === except) continue;
+    const term = Number((await fleet.status(sidecar))['planner']);
+    if (term > 0) return {index, term};
+  }
+  return undefined;
+}
+
+/** Terms of all shards of the plan. */
+async function planTerms(world: FleetWorld): Promise<number[]> {
+  const res = await fetch(`${world.fleet.keyValueUrl}/v1/kv?prefix=plan/`);
+  const {entries} = (await res.json()) as {readonly entries: ReadonlyArray<{value: string}>};
+  return entries.map(entry => (JSON.parse(entry.value) as {readonly term: number}).term);
+}
+
+When(
+  'the planner is paused until another plans, a model is added, and the first goes on',
+  async function (this: FleetWorld) {
+    const {fleet} = this;
+    const first = await until('a planner', 10_000, () => findPlanner(this, ''));
+    const paused = fleet.sidecars[first.index];
+    paused.process.signal('SIGSTOP');
+    const second = await until('another planner', 40_000, () => findPlanner(this, paused.id));
+    assert.ok(second.term > first.term);
+    await until('takeover', 10_000, async () =>
+      (await planTerms(this)).every(term => term === second.term) ? true : undefined,
+    );
+    this.notes.set('term', second.term);
+    const base = fleet.declaration();
+    const models = base['models'] as ReadonlyArray<Readonly<Record<string, unknown>>>;
+    await fleet.accept({...base, models: [...models, {...models[0], name: 'second'}]});
+    paused.process.signal('SIGCONT');
+    await sleep(3000);
+  },
+);
+
+Then('every shard of the plan keeps the newer term', async function (this: FleetWorld) {
+  const terms = await planTerms(this);
+  assert.ok(
+    terms.every(term => term >= this.notes.get('term')!),
+    terms.join(','),
+  );
+});
+
+Then(
+  'the models {string} and {string} are served',
+  async function (this: FleetWorld, one: string, two: string) {
+    await until('both models served', 20_000, async () => {
+      const statuses = await Promise.all(this.fleet.sidecars.map(s => this.fleet.status(s)));
+      const served = new Set(statuses.flatMap(status => status['models'] as string[]));
+      return served.has(one) && served.has(two) ? true : undefined;
+    });
+  },
+);
--- a/packages/core/src/lib/ids.ts
+++ b/packages/core/src/lib/ids.ts
@@ -1,5 +1,8 @@
 /** Identifiers. */
-import {ulid} from 'ulid';
+import {monotonicFactory} from 'ulid';
+
+/** Ids are unique, not secret; the default source asks the kernel for each character. */
+const nextUlid = monotonicFactory(Math.random);
 
 /**
  * Sortable unique identifier with a readable prefix.
@@ -9,5 +12,5 @@
  * @public
  */
 export function newId(prefix: string): string {
-  return `${prefix}_${ulid()}`;
+  return `${prefix}_${nextUlid()}`;
 }
