Finish the stand-ins and the error table

Cause: the engine stand-in had no cache events, export or import, two rows of the error table had no test, and only one entry was killed in the test of the path.

Change: a bounded prefix cache whose events come late and with gaps, export and import of cached blocks, padding in the service stand-in; tests of the stand-ins' own promises; rows result_not_kept and prior_attempt_unresolved; either entry killed.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -80,3 +80,18 @@
     When the order "p" is published on entry 0
     Then the first answer is 200
     And no order ran twice
+
+  Scenario: a resend while the order runs is told so
+    Given a fleet of 0 engines, 1 services and 2 entries
+    And the service takes 1500 ms
+    When the order "p" is published on entry 0 and, while it runs, on entry 1
+    Then the first answer is refused with 409 "prior_attempt_unresolved" and "may_have_run"
+    And no order ran twice
+
+  Scenario: a resend after an answer too large to keep is told that it ran
+    Given a fleet of 0 engines, 1 services and 1 entries
+    And the service pads its answers with 400000 bytes
+    When the order "p" is published on entry 0
+    And the order "p" is published on entry 0
+    Then the second answer is 409 "result_not_kept" and "completed"
+    And no order ran twice
--- a/features/path.feature
+++ b/features/path.feature
@@ -30,8 +30,13 @@
     When a paid caller asks for 3 tokens
     Then the command line explains its request
 
-  Scenario: a killed entry takes nothing from the other
+  Scenario Outline: entry <killed> killed takes nothing from entry <other>
     Given a fleet of 2 engines, 0 services and 2 entries
-    When 20 callers each ask both entries for 60 tokens and entry 0 is killed
-    Then all answers of entry 1 are whole
-    And no answer of entry 0 is taken for whole without its end marker
+    When 20 callers each ask both entries for 60 tokens and entry <killed> is killed
+    Then all answers of entry <other> are whole
+    And no answer of entry <killed> is taken for whole without its end marker
+
+    Examples:
+      | killed | other |
+      | 0      | 1     |
+      | 1      | 0     |
--- a/features/steps/at_most_once_steps.ts
+++ b/features/steps/at_most_once_steps.ts
@@ -286,3 +286,30 @@
     await sent;
   },
 );
+
+Given(
+  'the service pads its answers with {int} bytes',
+  async function (this: FleetWorld, paddingBytes: number) {
+    await this.fleet.faults(this.fleet.services[0].url, {paddingBytes});
+  },
+);
+
+When(
+  'the order {string} is published on entry {int} and, while it runs, on entry {int}',
+  async function (this: FleetWorld, key: string, first: number, second: number) {
+    const running = publish(this, first, key);
+    await new Promise(resolve => setTimeout(resolve, MIDWAY_MS));
+    await publish(this, second, key);
+    await running;
+  },
+);
+
+Then(
+  'the first answer is refused with {int} {string} and {string}',
+  function (this: FleetWorld, status: number, code: string, verdict: string) {
+    const [{answer}] = bookOf(this).answers;
+    assert.equal(answer.status, status);
+    assert.equal(answer.error?.code, code);
+    assert.equal(answer.error.verdict, verdict);
+  },
+);
--- /dev/null
+++ b/features/steps/contract_steps.ts
@@ -0,0 +1,147 @@
+/** Steps about what the stand-ins promise. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
+import {FleetProcess, freePort, until} from '../support/fleet_process.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const LATE_MS = 300;
+
+interface CacheEvents {
+  readonly events: ReadonlyArray<{readonly seq: number; readonly prefix: string}>;
+}
+
+const urls = new WeakMap<FleetWorld, string>();
+
+async function launch(
+  world: FleetWorld,
+  program: string,
+  probe: string,
+  args: readonly string[],
+): Promise<void> {
+  const url = `127.0.0.1:${await freePort()}`;
+  const process = new FleetProcess(program, ['--listen', url, ...args]);
+  world.owned.push(process);
+  await process.ready(`http://${url}${probe}`);
+  urls.set(world, `http://${url}`);
+}
+
+async function post(world: FleetWorld, path: string, body: object): Promise<Response> {
+  return fetch(urls.get(world)! + path, {method: 'POST', body: JSON.stringify(body)});
+}
+
+async function complete(world: FleetWorld, prompt: string): Promise<void> {
+  const messages = [{role: 'user', content: prompt}];
+  const res = await post(world, '/v1/chat/completions', {model: 'm', messages, max_tokens: 1});
+  await res.text();
+}
+
+async function readEvents(world: FleetWorld): Promise<CacheEvents['events']> {
+  const res = await fetch(`${urls.get(world)!}/v1/cache/events?after=0`);
+  return ((await res.json()) as CacheEvents).events;
+}
+
+Given(
+  'an engine stand-in with reports {int} ms late',
+  async function (this: FleetWorld, lagMs: number) {
+    const args = ['--report-lag-ms', String(lagMs), '--load-ms', '0', '--prefill-ms', '0'];
+    await launch(this, 'stand_in_engine', '/health', args);
+    await post(this, '/v1/orders', {fence: 1, operation: 'load', item: 'm', sizeMiB: 1});
+    await sleep(100);
+  },
+);
+
+When(
+  '{int} different prompts and the first again are completed',
+  async function (this: FleetWorld, count: number) {
+    for (let i = 0; i < count; i++) await complete(this, `prompt ${i}`);
+    await complete(this, 'prompt 0');
+    await complete(this, 'the last one');
+  },
+);
+
+Then(
+  'the cache events show gaps, and none younger than {int} ms',
+  async function (this: FleetWorld, lagMs: number) {
+    const early = await readEvents(this);
+    assert.ok(!early.some(event => event.prefix.includes('the last one')));
+    await sleep(lagMs + 50);
+    const seqs = (await readEvents(this)).map(event => event.seq);
+    assert.deepEqual(
+      seqs,
+      [...seqs].sort((a, b) => a - b),
+    );
+    assert.ok(seqs[seqs.length - 1] > seqs.length, 'no gap');
+  },
+);
+
+Then('the engine counted {int} prefix hit', async function (this: FleetWorld, hits: number) {
+  const res = await fetch(`${urls.get(this)!}/admin/counters`);
+  assert.equal(((await res.json()) as Readonly<Record<string, number>>)['prefixHits'], hits);
+});
+
+When(
+  'a cached prefix is exported and imported under another name',
+  async function (this: FleetWorld) {
+    await post(this, '/v1/cache/import', {prefix: 'one'});
+    const exported = await post(this, '/v1/cache/export', {prefix: 'one'});
+    assert.deepEqual(await exported.json(), {prefix: 'one'});
+    await post(this, '/v1/cache/import', {prefix: 'two'});
+  },
+);
+
+Then('both prefixes can be exported and an unknown one cannot', async function (this: FleetWorld) {
+  const statuses: number[] = [];
+  for (const prefix of ['one', 'two', 'three']) {
+    statuses.push((await post(this, '/v1/cache/export', {prefix})).status);
+  }
+  assert.deepEqual(statuses, [200, 200, 404]);
+});
+
+Given(
+  'a weight store of {int} loads a second and {int} at full speed of {int} ms',
+  async function (this: FleetWorld, loadsPerS: number, fullSpeed: number, loadMs: number) {
+    const args = ['--loads-per-s', loadsPerS, '--full-speed', fullSpeed, '--load-ms', loadMs];
+    await launch(this, 'stand_in_weight_store', '/admin/counters', args.map(String));
+  },
+);
+
+async function timeLoad(world: FleetWorld): Promise<number> {
+  const startMs = performance.now();
+  await (await fetch(`${urls.get(world)!}/v1/weights/m`)).text();
+  return performance.now() - startMs;
+}
+
+When('{int} loads are asked for at once', async function (this: FleetWorld, loads: number) {
+  this.notes.set('aloneMs', await timeLoad(this));
+  const times = await Promise.all(Array.from({length: loads}, () => timeLoad(this)));
+  this.notes.set('slowestMs', Math.max(...times));
+});
+
+Then(
+  'the slowest took at least {int} times the time of one load alone',
+  function (this: FleetWorld, factor: number) {
+    const slowestMs = this.notes.get('slowestMs')!;
+    assert.ok(slowestMs >= factor * this.notes.get('aloneMs')!, `${slowestMs} ms`);
+  },
+);
+
+Then('a change of the list shows after its lag, not before', async function (this: FleetWorld) {
+  const {fleet} = this;
+  const states = async () => {
+    const res = await fetch(`${fleet.listUrl}/v1/instances`);
+    const {instances} = (await res.json()) as {
+      readonly instances: ReadonlyArray<{readonly id: string; readonly state: string}>;
+    };
+    return instances.find(instance => instance.id === fleet.entries[1].id)?.state;
+  };
+  fleet.entries[1].state = 'leaving';
+  await fleet.publishList();
+  const atOnce = await states();
+  await until('the change', 10 * LATE_MS, async () =>
+    (await states()) === 'leaving' ? true : undefined,
+  );
+  fleet.entries[1].state = 'live';
+  await fleet.publishList();
+  assert.equal(atOnce, 'live');
+});
--- a/stand_ins/engine.ts
+++ b/stand_ins/engine.ts
@@ -1,6 +1,7 @@
 /** Stand-in of a model engine; docs/contracts/engine.md. */
 import type {ServerResponse} from 'node:http';
 import {fnv1a32} from '@jasminepost/core';
+import {EngineCache} from './engine_cache.ts';
 import {EngineMemory, type EngineOrderBody} from './engine_memory.ts';
 import {JsonServer, parseJson, sendJson, type JsonCall} from './json_server.ts';
 
@@ -15,6 +16,11 @@
   readonly resume: {readonly tokens: number; readonly text: string};
 }
 
+/** Cached KV blocks of one prefix, as they move between engines. */
+interface CacheBlock {
+  readonly prefix: string;
+}
+
 interface Generation {
   readonly res: ServerResponse;
   readonly priority: number;
@@ -57,7 +63,7 @@
   private readonly incarnation = `${process.pid}-${Date.now()}`;
   private readonly running = new Set<Generation>();
   private readonly waiting: Generation[] = [];
-  private readonly prefixes = new Set<string>();
+  private readonly cache: EngineCache;
   private readonly counters = {started: 0, resumed: 0, completed: 0, cancelled: 0, prefixHits: 0};
   private snapshot = {atMs: 0, state: {}};
   private faults: OrderFaults = {lose: 0, loseAnswer: 0, lateMs: 0, late: 0, double: 0};
@@ -66,6 +72,16 @@
     this.memory = new EngineMemory(options.totalMiB, options.honoursFencing, item =>
       options.fetchWeights(item),
     );
+    this.cache = new EngineCache(options.reportLagMs);
+    this.http.on('GET', '/v1/cache/events', ({res, query}) => {
+      const events = this.cache.eventsAfter(Number(query.get('after') ?? 0), performance.now());
+      sendJson(res, 200, {events});
+    });
+    this.http.on('POST', '/v1/cache/export', call => this.exportCache(call));
+    this.http.on('POST', '/v1/cache/import', ({res, text}) => {
+      const {prefix = ''} = parseJson<CacheBlock>(text);
+      sendJson(res, 200, {stored: !this.cache.touch(prefix)});
+    });
     this.http.on('GET', '/health', ({res}) => {
       res.end(this.incarnation);
     });
@@ -102,6 +118,12 @@
     };
   }
 
+  private exportCache({res, text}: JsonCall): void {
+    const {prefix = ''} = parseJson<CacheBlock>(text);
+    if (this.cache.has(prefix)) sendJson(res, 200, {prefix});
+    else sendJson(res, 404, {error: 'not cached'});
+  }
+
   private order({res, text}: JsonCall): void {
     const order = JSON.parse(text) as EngineOrderBody;
     const {faults} = this;
@@ -154,10 +176,8 @@
   ): Generation {
     const resumed = /^(\w+)\./.exec(body.resume?.text ?? '');
     const prefix = prompt.slice(0, 256);
-    const hit = this.prefixes.has(prefix);
+    const hit = this.cache.touch(prefix);
     if (hit) this.counters.prefixHits += 1;
-    this.prefixes.add(prefix);
-    if (this.prefixes.size > 64) this.prefixes.delete(this.prefixes.values().next().value!);
     const {crashText} = this.options;
     return {
       res,
--- a/stand_ins/service_main.ts
+++ b/stand_ins/service_main.ts
@@ -13,6 +13,8 @@
   /** Calls still to run and then lose their answer. */
   cut: number;
   workMs: number;
+  /** Bytes of padding in each answer. */
+  paddingBytes: number;
 }
 
 void runProgram('stand-in-service', SETTINGS, async raw => {
@@ -23,6 +25,7 @@
     refuse: 0,
     cut: 0,
     workMs: checkDuration('work-ms', raw.workMs, 0, 600_000),
+    paddingBytes: 0,
   };
 
   const run = (call: JsonCall) => {
@@ -38,7 +41,13 @@
     if (cut) faults.cut -= 1;
     setTimeout(() => {
       if (cut) call.res.destroy();
-      else sendJson(call.res, 200, {ran: key, path: call.params['*'], bytes: call.text.length});
+      else
+        sendJson(call.res, 200, {
+          ran: key,
+          path: call.params['*'],
+          bytes: call.text.length,
+          padding: 'x'.repeat(faults.paddingBytes),
+        });
     }, faults.workMs);
   };
 
