--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -35,6 +35,18 @@
     When an operator accepts on generation 1
     Then the command ends with 1 and says "nothing has changed"
 
+  Scenario Outline: a review shows what changes, as <format>
+    Given a fleet of 2 engines, 0 services and 1 entries
+    When an operator reviews a declaration with one model more, as "<format>"
+    Then the command ends with 0 and says "<change>"
+    And it says "in force: generation 1"
+    And it says "floors need 36864 MiB of 163840 MiB"
+
+    Examples:
+      | format | change                         |
+      | table  | added  models/second/weightsMiB |
+      | json   | models/second/weightsMiB       |
+
   Scenario: a declaration whose floors do not fit is refused with the numbers
     Given a fleet of 2 engines, 0 services and 1 entries
     When an operator accepts models of 60000 MiB with 2 copies each on generation 1
@@ -53,6 +65,10 @@
       | a key in plain text | organisations.0.keys.0.sha256: found "secret", wanted a SHA-256 in lower-case hex  |
       | an unknown field    | (top): found                                                                        |
 
+  Scenario: answers are asked for at the terminal
+    When a team answers the questions at the terminal
+    Then the declaration holds the team, its models and its services
+
   Scenario: answers become a declaration
     When a team's answers are turned into a declaration
     Then the declaration holds the team, its models and its services
--- a/features/steps/configuration_steps.ts
+++ b/features/steps/configuration_steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
-import {runToEnd, until} from '../support/fleet_process.ts';
+import {FleetProcess, runToEnd, until} from '../support/fleet_process.ts';
 import type {FleetMember} from '../support/fleet_types.ts';
 import {TestFleet} from '../support/test_fleet.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -203,6 +203,45 @@
   },
 );
 
+When(
+  'an operator reviews a declaration with one model more, as {string}',
+  async function (this: FleetWorld, format: string) {
+    const {fleet} = this;
+    const base = fleet.declaration();
+    const models = base['models'] as ReadonlyArray<Readonly<Record<string, unknown>>>;
+    const file = await fleet.writeFile('reviewed.json', {
+      ...base,
+      models: [...models, {...models[0], name: 'second'}],
+    });
+    const flags = [...fleet.keyValueFlags(), ...fleet.fleetFlags(), '--output', format];
+    results.set(this, [await fleet.cli(['review', file, ...flags])]);
+  },
+);
+
+Then('it says {string}', function (this: FleetWorld, text: string) {
+  const [{output}] = results.get(this)!;
+  assert.ok(output.includes(text), output);
+});
+
+When('a team answers the questions at the terminal', async function (this: FleetWorld) {
+  const typed = [
+    'karori-desk',
+    'trial',
+    SHA,
+    '[{"name": "summary-7b", "weightsGiB": 14, "kvFloorGiB": 2}]',
+    '[{"name": "index", "nonIdempotent": [{"method": "POST", "pathPrefix": "/release"}]}]',
+    '3',
+    '',
+    '',
+  ];
+  const process = new FleetProcess('jasminepost', ['questionnaire'], true);
+  for (const line of typed) await process.answer(line);
+  const code = await process.exited;
+  const output = process.log.join('');
+  // The questions on standard error come before the document.
+  results.set(this, [{code, output: output.slice(output.indexOf('{\n'))}]);
+});
+
 When("a team's answers are turned into a declaration", async function (this: FleetWorld) {
   const answers = {
     organisation: 'karori-desk',
--- a/features/support/fleet_process.ts
+++ b/features/support/fleet_process.ts
@@ -42,13 +42,17 @@
   exitCode: number | undefined;
   readonly exited: Promise<number>;
   private readonly child: ChildProcess;
+  /** Output before the question that was answered last. */
+  private answeredChars = 0;
 
   constructor(
     readonly program: string,
     readonly args: readonly string[],
+    /** True gives the process a standard input to answer its questions on. */
+    asks = false,
   ) {
     this.child = spawn(process.execPath, [`${DIST}/${program}.js`, ...args], {
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: [asks ? 'pipe' : 'ignore', 'pipe', 'pipe'],
     });
     const keep = (data: Buffer) => this.log.push(data.toString('utf8'));
     this.child.stdout!.on('data', keep);
@@ -69,6 +73,16 @@
     return this.exitCode === undefined;
   }
 
+  /** Waits for the next question and answers it. */
+  async answer(line: string): Promise<void> {
+    await until('a question', READY_TIMEOUT_MS, async () => {
+      const text = this.log.join('');
+      return text.length > this.answeredChars && text.endsWith(': ') ? true : undefined;
+    });
+    this.answeredChars = this.log.join('').length;
+    this.child.stdin!.write(`${line}\n`);
+  }
+
   signal(signal: NodeJS.Signals): void {
     if (this.running) this.child.kill(signal);
   }
--- a/packages/caller/src/lib/http_front.ts
+++ b/packages/caller/src/lib/http_front.ts
@@ -82,7 +82,7 @@
     this.router.on('POST', '/v1/chat/completions', (req, res) => {
       void this.serve(req, res, exchange => this.complete(exchange));
     });
-    const methods = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD'] as const;
+    const methods = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS'] as const;
     this.router.on([...methods], '/services/:name/*', (req, res, params) => {
       void this.serve(req, res, exchange => this.callService(exchange, params['name'] ?? ''));
     });
