Bind frames to their attempt; pass paid work on from full replicas

Cause 1, a real fault ("cross two attempts"): a frame whose attempt number was another's was taken when its sequence number happened to fit, so a caller got a foreign token inside a whole-looking answer. Each attempt now draws a tag that its frames repeat. Cause 2, a fault of the test: a port reserved by one worker was taken by a connection of another (EADDRINUSE). Workers now have ranges of their own below the kernel's. Ruled out: the programs' own sockets.

Change of policy: a sidecar passes paid work on when it would wait over 50 ms and the entry has another replica left, at most twice. In virtual time a hop costs nothing; with processes it is not measured.

--- a/apps/entry/src/lib/attempt_stream.ts
+++ b/apps/entry/src/lib/attempt_stream.ts
@@ -5,8 +5,12 @@
 /** Acknowledging every so many bytes keeps the acknowledgements few. */
 const ACK_BYTES = 32 * 1024;
 
+const MAX_TAG = 2 ** 32;
+
 /** @internal */
 export class AttemptStream {
+  /** Repeated in every frame of this attempt. */
+  readonly tag = Math.floor(Math.random() * MAX_TAG);
   /** Events or bytes received so far. */
   seq = 0;
   private unackedBytes = 0;
--- a/apps/entry/src/lib/dispatcher.ts
+++ b/apps/entry/src/lib/dispatcher.ts
@@ -11,7 +11,7 @@
 } from '@jasminepost/mesh';
 import type {ClaimStore} from '@jasminepost/platform';
 import type {OrganisationLimiter, RetryBudget, SuspectList} from '@jasminepost/policy';
-import type {EntryMetrics} from './entry_metrics.ts';
+import type {EntryMetrics, StaleFrame} from './entry_metrics.ts';
 import type {ReplicaIndex} from './replica_index.ts';
 import {RequestRun} from './request_run.ts';
 import type {TraceLog} from './trace_log.ts';
@@ -107,14 +107,13 @@
     message: HeadMessage | ChunkMessage | EndMessage | FailMessage,
   ): void {
     const run = this.attempts.get(message.attempt);
-    const stale: CounterFamily<'unknown_attempt' | 'wrong_replica' | 'sequence_gap'> =
-      this.context.metrics.staleFrames;
+    const stale: CounterFamily<StaleFrame> = this.context.metrics.staleFrames;
     if (run === undefined) {
       stale.increment('unknown_attempt');
       return;
     }
-    if (run.replica !== replica) {
-      stale.increment('wrong_replica');
+    if (!run.owns(replica, message.tag)) {
+      stale.increment('foreign');
       return;
     }
     run.onFrame(message);
--- a/apps/entry/src/lib/entry_metrics.ts
+++ b/apps/entry/src/lib/entry_metrics.ts
@@ -8,7 +8,7 @@
 import type {LinkFault} from '@jasminepost/mesh';
 
 /** Frames that are dropped because they belong to no attempt in progress. */
-type StaleFrame = 'unknown_attempt' | 'wrong_replica' | 'sequence_gap';
+export type StaleFrame = 'unknown_attempt' | 'foreign' | 'sequence_gap';
 
 /** @internal */
 export class EntryMetrics {
--- a/apps/entry/src/lib/request_run.ts
+++ b/apps/entry/src/lib/request_run.ts
@@ -11,6 +11,8 @@
 import type {RequestTrace} from './trace_log.ts';
 
 const MAX_ATTEMPTS = 4;
+/** Full replicas that a request may be passed on from. */
+const MAX_REDIRECTS = 2;
 /** A stream that has started waits this long between looks for a replica to resume on. */
 const RESUME_POLL_MS = 100;
 const PREFIX_SAVING_MS = 30;
@@ -84,6 +86,11 @@
     this.tryNext();
   }
 
+  /** True when a frame was made for the attempt in progress. */
+  owns(replica: Replica, tag: number): boolean {
+    return this.replica === replica && this.stream?.tag === tag;
+  }
+
   onFrame(message: HeadMessage | ChunkMessage | EndMessage | FailMessage): void {
     switch (message.type) {
       case 'head':
@@ -172,20 +179,30 @@
     this.attempts += 1;
     this.attemptId = `${this.owner.context.processId}.${attempt}`;
     this.replica = replica;
-    this.stream = new AttemptStream(attempt, link, this.sink);
+    const stream = new AttemptStream(attempt, link, this.sink);
+    this.stream = stream;
     replica.inFlight += 1;
     this.note('attempt', replica.id, crashes > 0 ? 'isolated' : '');
     link.send(
       startMessage(this.call, {
         attempt,
+        tag: stream.tag,
         attemptId: this.attemptId,
         crashes,
         nowMs,
+        hasAlternative: this.hasAlternative(),
         delivered: this.delivered,
       }),
     );
   }
 
+  /** A redirect costs one hop; after a few of them the request waits where it is. */
+  private hasAlternative(): boolean {
+    const {index} = this.owner.context;
+    const candidates = index.candidates(this.call.kind, this.call.target);
+    return this.attempts <= MAX_REDIRECTS && this.excluded.size + 1 < candidates.length;
+  }
+
   private onChunk(message: ChunkMessage): void {
     const stream = this.stream!;
     if (!stream.isNext(message.seq)) {
--- a/apps/entry/src/lib/start_message.ts
+++ b/apps/entry/src/lib/start_message.ts
@@ -5,10 +5,12 @@
 
 interface AttemptFacts {
   readonly attempt: number;
+  readonly tag: number;
   readonly attemptId: string;
   /** Upstreams that the request is known to have crashed. */
   readonly crashes: number;
   readonly nowMs: number;
+  readonly hasAlternative: boolean;
   /** Events that the caller already has. */
   readonly delivered: readonly string[];
 }
@@ -22,6 +24,7 @@
   return {
     type: 'start',
     attempt: facts.attempt,
+    tag: facts.tag,
     requestId: call.requestId,
     attemptId: facts.attemptId,
     organisation: call.organisation,
@@ -37,6 +40,7 @@
     remainingMs: Math.max(0, Math.round(call.deadlineMs - facts.nowMs)),
     idempotencyKey: call.idempotencyKey,
     crashes: facts.crashes,
+    hasAlternative: facts.hasAlternative,
     resumeTokens: facts.delivered.length,
     resumeText: textOfEvents(facts.delivered),
   };
--- a/apps/sidecar/src/lib/answer_channel.ts
+++ b/apps/sidecar/src/lib/answer_channel.ts
@@ -16,6 +16,7 @@
   constructor(
     private readonly link: MeshLink,
     private readonly attempt: number,
+    private readonly tag: number,
   ) {}
 
   get isOpen(): boolean {
@@ -23,12 +24,19 @@
   }
 
   head(status: number, headers: Record<string, string>, replayed = false): void {
-    this.link.send({type: 'head', attempt: this.attempt, status, headers, replayed});
+    this.link.send({type: 'head', attempt: this.attempt, tag: this.tag, status, headers, replayed});
   }
 
   /** Sends completion events; resolves when the window has room. */
   async events(events: string[]): Promise<void> {
-    this.link.send({type: 'chunk', attempt: this.attempt, seq: this.seq, events, data: NO_BYTES});
+    this.link.send({
+      type: 'chunk',
+      attempt: this.attempt,
+      tag: this.tag,
+      seq: this.seq,
+      events,
+      data: NO_BYTES,
+    });
     this.seq += events.length;
     for (const event of events) this.unackedBytes += event.length;
     await this.windowOpen();
@@ -36,18 +44,25 @@
 
   /** Sends raw bytes; resolves when the window has room. */
   async data(data: Uint8Array): Promise<void> {
-    this.link.send({type: 'chunk', attempt: this.attempt, seq: this.seq, events: [], data});
+    this.link.send({
+      type: 'chunk',
+      attempt: this.attempt,
+      tag: this.tag,
+      seq: this.seq,
+      events: [],
+      data,
+    });
     this.seq += data.length;
     this.unackedBytes += data.length;
     await this.windowOpen();
   }
 
   end(usage: string): void {
-    this.link.send({type: 'end', attempt: this.attempt, seq: this.seq, usage});
+    this.link.send({type: 'end', attempt: this.attempt, tag: this.tag, seq: this.seq, usage});
   }
 
   fail(verdict: Verdict, retryAfterMs: number): void {
-    this.link.send({type: 'fail', attempt: this.attempt, verdict, retryAfterMs});
+    this.link.send({type: 'fail', attempt: this.attempt, tag: this.tag, verdict, retryAfterMs});
   }
 
   onAck(bytes: number): void {
--- a/apps/sidecar/src/lib/upstream_gate.ts
+++ b/apps/sidecar/src/lib/upstream_gate.ts
@@ -65,7 +65,7 @@
 
   onStart(link: MeshLink, start: StartMessage): void {
     const {context} = this;
-    const channel = new AnswerChannel(link, start.attempt);
+    const channel = new AnswerChannel(link, start.attempt, start.tag);
     const attempt = new Attempt(link, start, channel, context.upstreamUrl, context.clock);
     const refusal = context.refusalOf(start);
     if (refusal !== undefined) {
@@ -76,7 +76,7 @@
     const decision =
       start.resumeTokens > 0
         ? context.queue.readmit(attempt)
-        : context.queue.offer(attempt, context.clock.monotonicMs());
+        : context.queue.offer(attempt, context.clock.monotonicMs(), start.hasAlternative);
     if (decision.kind === 'refused') {
       this.refuse(attempt, decision.reason, decision.retryAfterMs);
       return;
--- a/apps/sidecar/src/settings.ts
+++ b/apps/sidecar/src/settings.ts
@@ -42,6 +42,11 @@
     help: 'Longest expected wait of paid work',
     fallback: '30000',
   },
+  paidRedirectMs: {
+    flag: 'paid-redirect-ms',
+    help: 'Longest expected wait of paid work that could still go elsewhere',
+    fallback: '50',
+  },
   trialMaxWaitMs: {
     flag: 'trial-max-wait-ms',
     help: 'Longest expected wait of trial work',
@@ -76,6 +81,7 @@
   readonly paidReserve: number;
   readonly paidMaxWaitMs: number;
   readonly trialMaxWaitMs: number;
+  readonly paidRedirectMs: number;
   readonly drainMode: 'finish' | 'move';
   readonly planShards: number;
   readonly loadsPerS: number;
@@ -102,6 +108,7 @@
     reportBytesPerS: checkDuration('report-bytes-per-s', raw.reportBytesPerS, 100, 1e9),
     paidReserve: checkDuration('paid-reserve', raw.paidReserve, 0, 100_000),
     paidMaxWaitMs: checkDuration('paid-max-wait-ms', raw.paidMaxWaitMs, 0, HOUR_MS),
+    paidRedirectMs: checkDuration('paid-redirect-ms', raw.paidRedirectMs, 0, HOUR_MS),
     trialMaxWaitMs: checkDuration('trial-max-wait-ms', raw.trialMaxWaitMs, 0, HOUR_MS),
     drainMode: oneOf('drain-mode', raw.drainMode, ['finish', 'move'] as const),
     planShards: checkDuration('plan-shards', raw.planShards, 1, 256),
--- a/apps/sidecar/src/wire.ts
+++ b/apps/sidecar/src/wire.ts
@@ -68,8 +68,8 @@
     registry.counter<KeyValueCall>('key_value_calls', 'Calls to the key-value service.', 'call'),
   );
   const limits = (slots: number): AdmissionLimits => {
-    const {paidReserve, paidMaxWaitMs, trialMaxWaitMs} = settings;
-    return {slots, paidReserve, paidMaxWaitMs, trialMaxWaitMs};
+    const {paidReserve, paidMaxWaitMs, paidRedirectMs, trialMaxWaitMs} = settings;
+    return {slots, paidReserve, paidMaxWaitMs, paidRedirectMs, trialMaxWaitMs};
   };
 
   const server: MeshServer = new MeshServer(
--- a/bench/decision_cost.ts
+++ b/bench/decision_cost.ts
@@ -111,7 +111,13 @@
 }
 
 function admitOnce(): () => void {
-  const limits = {slots: SLOTS, paidReserve: 0, paidMaxWaitMs: 30_000, trialMaxWaitMs: 250};
+  const limits = {
+    slots: SLOTS,
+    paidReserve: 0,
+    paidMaxWaitMs: 30_000,
+    paidRedirectMs: 50,
+    trialMaxWaitMs: 250,
+  };
   const queue = new AdmissionQueue<Ticket>(limits);
   return () => {
     const ticket: Ticket = {
@@ -132,6 +138,7 @@
   const chunk = {
     type: 'chunk',
     attempt: 123_456,
+    tag: 3_123_456_789,
     seq: 17,
     events: ['[{"index":0,"delta":{"content":"token"},"finish_reason":null}]'],
     data: new Uint8Array(0),
--- a/bench/fake_replica.ts
+++ b/bench/fake_replica.ts
@@ -5,6 +5,7 @@
 
 const PAID_MAX_WAIT_MS = 30_000;
 const TRIAL_MAX_WAIT_MS = 250;
+const PAID_REDIRECT_MS = 50;
 const CACHED_PREFIXES = 64;
 const COLD_PREFILL_MS = 60;
 const WARM_PREFILL_MS = 15;
@@ -62,15 +63,16 @@
       paidReserve: 0,
       paidMaxWaitMs: PAID_MAX_WAIT_MS,
       trialMaxWaitMs: TRIAL_MAX_WAIT_MS,
+      paidRedirectMs: PAID_REDIRECT_MS,
     });
   }
 
   /** False when the request was refused. */
-  offer(request: SimRequest): boolean {
+  offer(request: SimRequest, hasAlternative: boolean): boolean {
     const resumed = !Number.isNaN(request.firstTokenMs);
     const decision = resumed
       ? this.queue.readmit(request)
-      : this.queue.offer(request, this.clock.nowMs);
+      : this.queue.offer(request, this.clock.nowMs, hasAlternative);
     if (decision.kind === 'refused') return false;
     this.lastUsedMs.set(request.model, this.clock.nowMs);
     this.pump();
--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -14,6 +14,7 @@
 const MEAN_DECODE_MS = 900;
 const FIRST_TOKEN_TARGET_MS = 320;
 const MAX_ATTEMPTS = 4;
+const REDIRECTS = 2;
 const CRASH_DETECTION_MS = 500;
 const RETRY_WITHOUT_REPLICA_MS = 100;
 const UNREACHABLE_CHECK_MS = 250;
@@ -152,7 +153,8 @@
       if (view === undefined) break;
       request.view = view;
       view.ownInFlight += 1;
-      if (view.replica.offer(request)) return;
+      const hasAlternative = attempt < REDIRECTS && excluded.size + 1 < candidates.length;
+      if (view.replica.offer(request, hasAlternative)) return;
       this.leaveReplica(request);
       excluded.add(view.id);
     }
--- a/features/support/fleet_process.ts
+++ b/features/support/fleet_process.ts
@@ -8,16 +8,26 @@
 const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 25;
 
-/** Reserves a free loopback port. */
-export function freePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
+/** Ports below the range from which the kernel serves outgoing connections. */
+const FIRST_PORT = 10_000;
+const PORTS_PER_WORKER = 5000;
+const WORKER = Number(process.env['CUCUMBER_WORKER_ID'] ?? 3);
+let nextPort = process.pid % PORTS_PER_WORKER;
+
+/** Reserves a free loopback port; each test worker has a range of its own. */
+export async function freePort(): Promise<number> {
+  for (;;) {
+    nextPort = (nextPort + 1) % PORTS_PER_WORKER;
+    const port = FIRST_PORT + WORKER * PORTS_PER_WORKER + nextPort;
+    if (await isFree(port)) return port;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address();
-      const port = typeof address === 'object' && address !== null ? address.port : 0;
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
 
--- a/features/support/tamper_proxy.ts
+++ b/features/support/tamper_proxy.ts
@@ -19,6 +19,8 @@
 interface AnyFrame {
   readonly type?: string;
   readonly attempt?: number;
+  readonly seq?: number;
+  readonly events?: readonly string[];
 }
 
 const codec = new Encoder({useRecords: false, mapsAsObjects: true, tagUint8Array: false});
@@ -26,7 +28,8 @@
 export class TamperProxy {
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
-  private readonly lastAttempts: number[] = [];
+  /** Next sequence number of each attempt, newest attempts last. */
+  private readonly nextSeq = new Map<number, number>();
   private chunks = 0;
   private held: Buffer | undefined;
 
@@ -80,7 +83,7 @@
       return;
     }
     this.chunks += 1;
-    this.remember(message.attempt ?? 0);
+    this.remember(message);
     if (this.chunks % this.every === 0) this.tamper(client, frame, message);
     else client.write(frame);
   }
@@ -102,7 +105,7 @@
         client.write(Buffer.concat([frame, frame]));
         return;
       case 'cross two attempts':
-        client.write(encode({...message, attempt: this.otherAttempt(message.attempt ?? 0)}));
+        client.write(encode({...message, ...this.otherAttempt(message.attempt ?? 0)}));
         return;
       case 'replay a frame late':
         client.write(this.held === undefined ? frame : Buffer.concat([frame, this.held]));
@@ -119,13 +122,16 @@
     }
   }
 
-  private remember(attempt: number): void {
-    if (!this.lastAttempts.includes(attempt)) this.lastAttempts.push(attempt);
-    if (this.lastAttempts.length > 4) this.lastAttempts.shift();
+  private remember({attempt = 0, seq = 0, events = []}: AnyFrame): void {
+    this.nextSeq.set(attempt, seq + events.length);
+    if (this.nextSeq.size > 8) this.nextSeq.delete(this.nextSeq.keys().next().value!);
   }
 
-  private otherAttempt(attempt: number): number {
-    return this.lastAttempts.find(other => other !== attempt) ?? attempt + 1;
+  /** Another attempt, at the position where its next frame is due. */
+  private otherAttempt(own: number): {readonly attempt: number; readonly seq: number} {
+    const others = [...this.nextSeq].filter(([attempt]) => attempt !== own);
+    const [attempt, seq] = others[others.length - 1] ?? [own + 1, 0];
+    return {attempt, seq};
   }
 }
 
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -93,6 +93,8 @@
 const start = z.object({
   type: z.literal('start'),
   attempt: count,
+  /** Drawn for each attempt and repeated in its frames: a frame of another attempt is not taken. */
+  tag: count,
   requestId: name,
   /** Unique over all entries; names this attempt in a claim. */
   attemptId: name,
@@ -113,6 +115,8 @@
   idempotencyKey: z.string().max(MAX_NAME),
   /** Upstreams that this fingerprint has crashed; a suspect runs with nothing else. */
   crashes: count,
+  /** True when another replica is left to try, so that a full one may pass the request on. */
+  hasAlternative: z.boolean(),
   /** Tokens the caller already has. */
   resumeTokens: count,
   resumeText: z.string(),
@@ -123,6 +127,7 @@
 const head = z.object({
   type: z.literal('head'),
   attempt: count,
+  tag: count,
   status: z.number().int().min(100).max(599),
   headers,
   replayed: z.boolean(),
@@ -130,6 +135,7 @@
 const chunk = z.object({
   type: z.literal('chunk'),
   attempt: count,
+  tag: count,
   /** Position of the first event or byte in this attempt's answer. */
   seq: count,
   /** Choice events of a completion, each as JSON. */
@@ -140,6 +146,7 @@
 const end = z.object({
   type: z.literal('end'),
   attempt: count,
+  tag: count,
   /** Total of events or bytes sent. */
   seq: count,
   /** JSON of the usage object; empty when the upstream sent none. */
@@ -148,6 +155,7 @@
 const fail = z.object({
   type: z.literal('fail'),
   attempt: count,
+  tag: count,
   verdict,
   retryAfterMs: count,
 });
@@ -244,6 +252,7 @@
   return (
     message.type === 'chunk' &&
     Number.isInteger(message.attempt) &&
+    Number.isInteger(message.tag) &&
     Number.isInteger(message.seq) &&
     message.data instanceof Uint8Array &&
     Array.isArray(message.events) &&
--- a/packages/policy/src/lib/admission.ts
+++ b/packages/policy/src/lib/admission.ts
@@ -24,6 +24,8 @@
   /** Longest expected wait before a class is refused, in milliseconds. */
   readonly paidMaxWaitMs: number;
   readonly trialMaxWaitMs: number;
+  /** Longest expected wait of paid work that could still go elsewhere. */
+  readonly paidRedirectMs: number;
 }
 
 /** @public */
@@ -70,11 +72,14 @@
     return short <= 0 ? 0 : (short / usable) * this.serviceMs;
   }
 
-  /** Takes a request into the queue, or refuses it with the time to come back. */
-  offer(ticket: T, nowMs: number): AdmissionDecision {
+  /**
+   * Takes a request into the queue, or refuses it with the time to come back.
+   *
+   * @param hasAlternative - True when another replica is left to try.
+   */
+  offer(ticket: T, nowMs: number, hasAlternative = false): AdmissionDecision {
     const waitMs = this.expectedWaitMs(ticket.class);
-    const limitMs =
-      ticket.class === 'paid' ? this.limits.paidMaxWaitMs : this.limits.trialMaxWaitMs;
+    const limitMs = this.waitLimitMs(ticket.class, hasAlternative);
     if (ticket.deadlineMs <= nowMs) return refused('deadline_passed', 0);
     if (waitMs > limitMs) return refused('queue_full', waitMs - limitMs);
     if (nowMs + waitMs > ticket.deadlineMs) return refused('deadline_passed', waitMs);
@@ -143,6 +148,11 @@
     return [...this.paid.splice(0), ...this.trial.splice(0)];
   }
 
+  private waitLimitMs(requestClass: RequestClass, hasAlternative: boolean): number {
+    if (requestClass === 'trial') return this.limits.trialMaxWaitMs;
+    return hasAlternative ? this.limits.paidRedirectMs : this.limits.paidMaxWaitMs;
+  }
+
   private peek(): T | undefined {
     if ([...this.running].some(ticket => ticket.isolate)) return undefined;
     const free = this.limits.slots - this.running.size;
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -45,6 +45,13 @@
     replace: 'return seq >= 0;',
     features: ['features/streams.feature', '--name', 'double a frame'],
   },
+  {
+    name: 'frames of another attempt are taken',
+    file: 'apps/entry/src/lib/request_run.ts',
+    find: 'this.replica === replica && this.stream?.tag === tag',
+    replace: 'this.replica === replica && tag >= 0',
+    features: ['features/streams.feature', '--name', 'cross two attempts'],
+  },
   {
     name: 'cut streams are not resumed',
     file: 'packages/caller/src/lib/completion_request.ts',
