Let redirects cost no retry token

Cause, found on reading the change again: a full sidecar passed paid work on as queue_full, which takes a token of the retry budget. With the budget spent, a paid request that would have waited 50 ms was refused to its caller.

The doubled handling of sequence gaps is one function, and the reasons that open a circuit have a file of their own.

--- a/apps/entry/src/lib/request_run.ts
+++ b/apps/entry/src/lib/request_run.ts
@@ -7,6 +7,7 @@
 import {AttemptStream} from './attempt_stream.ts';
 import type {Dispatcher} from './dispatcher.ts';
 import {TargetMeter} from './target_meter.ts';
+import {REPLICA_FAULTS} from './replica_faults.ts';
 import {startMessage} from './start_message.ts';
 import type {RequestTrace} from './trace_log.ts';
 
@@ -19,17 +20,6 @@
 /** Time after the caller's deadline in which the sidecar's own answer may still arrive. */
 const DEADLINE_GRACE_MS = 250;
 
-/** Reasons that speak against the replica rather than against the request. */
-const REPLICA_FAULTS: ReadonlySet<Verdict['reason']> = new Set<Verdict['reason']>([
-  'connect_failed',
-  'link_lost',
-  'not_written',
-  'upstream_crashed',
-  'upstream_cut',
-  'upstream_refused',
-  'upstream_unhealthy',
-]);
-
 /** @internal */
 export class RequestRun {
   /** Replica of the attempt in progress. */
@@ -157,6 +147,12 @@
   /** A stream that has started waits for a replica; any other request is answered at once. */
   private afterNoReplica(): void {
     this.excluded.clear();
+    if (this.lastFailure?.verdict.reason === 'redirected') {
+      // The replica that it was passed on to has gone; the next one takes it.
+      this.lastFailure = undefined;
+      this.tryNext();
+      return;
+    }
     if (this.sink.started && this.call.resumable) {
       this.pollTimer = setTimeout(() => this.tryNext(), RESUME_POLL_MS);
       return;
@@ -206,9 +202,7 @@
   private onChunk(message: ChunkMessage): void {
     const stream = this.stream!;
     if (!stream.isNext(message.seq)) {
-      this.owner.context.metrics.staleFrames.increment('sequence_gap');
-      this.abandonAttempt();
-      this.afterAttempt(mayHaveRun('link_lost'), 0);
+      this.onSequenceGap();
       return;
     }
     this.meter.onTokens(message.events.length);
@@ -216,11 +210,15 @@
     stream.deliver(message);
   }
 
+  private onSequenceGap(): void {
+    this.owner.context.metrics.staleFrames.increment('sequence_gap');
+    this.abandonAttempt();
+    this.afterAttempt(mayHaveRun('link_lost'), 0);
+  }
+
   private onEnd(message: EndMessage): void {
     if (!this.stream!.isNext(message.seq)) {
-      this.owner.context.metrics.staleFrames.increment('sequence_gap');
-      this.abandonAttempt();
-      this.afterAttempt(mayHaveRun('link_lost'), 0);
+      this.onSequenceGap();
       return;
     }
     this.owner.context.index.circuitOf(this.replica!.id).onSuccess();
--- a/packages/core/src/lib/verdict.ts
+++ b/packages/core/src/lib/verdict.ts
@@ -14,6 +14,7 @@
   'organisation_limit',
   'queue_full',
   'quarantined',
+  'redirected',
   'retry_budget_spent',
   'upstream_refused',
   'upstream_unhealthy',
--- a/packages/policy/src/lib/admission.ts
+++ b/packages/policy/src/lib/admission.ts
@@ -81,7 +81,10 @@
     const waitMs = this.expectedWaitMs(ticket.class);
     const limitMs = this.waitLimitMs(ticket.class, hasAlternative);
     if (ticket.deadlineMs <= nowMs) return refused('deadline_passed', 0);
-    if (waitMs > limitMs) return refused('queue_full', waitMs - limitMs);
+    if (waitMs > limitMs) {
+      const reason = ticket.class === 'paid' && hasAlternative ? 'redirected' : 'queue_full';
+      return refused(reason, waitMs - limitMs);
+    }
     if (nowMs + waitMs > ticket.deadlineMs) return refused('deadline_passed', waitMs);
     insertByDeadline(ticket.class === 'paid' ? this.paid : this.trial, ticket);
     return {kind: 'queued'};
--- a/packages/policy/src/lib/retry.ts
+++ b/packages/policy/src/lib/retry.ts
@@ -68,7 +68,10 @@
 function afterNotRun(input: RetryInput, reason: NotRunReason): RetryDecision {
   const stuck = input.answerStarted && !input.resumable;
   if (stuck || FINAL_REFUSALS.has(reason)) return {kind: 'give_up', cause: 'verdict'};
-  return spend(input, input.answerStarted ? 'resume' : 'retry');
+  const kind = input.answerStarted ? 'resume' : 'retry';
+  // A redirect is bounded by its own count; without a token the request would be lost to it.
+  if (reason === 'redirected' && input.remainingMs > 0) return {kind};
+  return spend(input, kind);
 }
 
 function afterMayHaveRun(input: RetryInput, reason: MayHaveRunReason): RetryDecision {
