--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -2,13 +2,13 @@
 const ALLOWED = {
   core: [],
   policy: ['core'],
-  platform: ['core'],
+  key_value: ['core'],
   mesh: ['core'],
   engine: ['core'],
   service: ['core'],
   weight_store: ['core'],
   caller: ['core'],
-  operator: ['core', 'mesh', 'platform', 'policy'],
+  operator: ['core', 'mesh', 'key_value', 'policy'],
 };
 
 const packageRules = Object.entries(ALLOWED).map(([name, allowed]) => ({
--- a/apps/cli/src/commands/accept.ts
+++ b/apps/cli/src/commands/accept.ts
@@ -7,7 +7,7 @@
   type ConfigDocument,
   type Declaration,
 } from '@jasminepost/operator';
-import {InstanceListClient} from '@jasminepost/platform';
+import {InstanceListClient} from '@jasminepost/key_value';
 import {EXIT} from '../lib/exit_codes.ts';
 import {readDeclaration, withInputChecks} from '../lib/input_files.ts';
 import {MeshOperator} from '../lib/mesh_operator.ts';
--- a/apps/cli/src/commands/fleet.ts
+++ b/apps/cli/src/commands/fleet.ts
@@ -1,6 +1,6 @@
 /** Commands that ask running processes: status, models, drain, explain. */
 import {command, positional, string} from 'cmd-ts';
-import {InstanceListClient} from '@jasminepost/platform';
+import {InstanceListClient} from '@jasminepost/key_value';
 import {EXIT} from '../lib/exit_codes.ts';
 import {MeshOperator} from '../lib/mesh_operator.ts';
 import {instanceListUrl, meshKey, output} from '../lib/options.ts';
--- a/apps/cli/src/lib/platform_reader.ts
+++ b/apps/cli/src/lib/platform_reader.ts
@@ -6,7 +6,7 @@
   KeyValueClient,
   type KeyValueCall,
   type ListedInstance,
-} from '@jasminepost/platform';
+} from '@jasminepost/key_value';
 import {MeshOperator, type ProcessStatus} from './mesh_operator.ts';
 
 /** @internal */
--- a/apps/entry/src/lib/dispatcher.ts
+++ b/apps/entry/src/lib/dispatcher.ts
@@ -9,7 +9,7 @@
   MeshMessage,
   Replica,
 } from '@jasminepost/mesh';
-import type {ClaimStore} from '@jasminepost/platform';
+import type {ClaimStore} from '@jasminepost/key_value';
 import type {OrganisationLimiter, RetryBudget, SuspectList} from '@jasminepost/policy';
 import type {EntryMetrics, StaleFrame} from './entry_metrics.ts';
 import type {ReplicaIndex} from './replica_index.ts';
--- a/apps/entry/src/lib/request_run.ts
+++ b/apps/entry/src/lib/request_run.ts
@@ -2,7 +2,7 @@
 import {failureOf, type AnswerSink, type CallerCall} from '@jasminepost/caller';
 import {exhaustive, mayHaveRun, notRun, type Verdict} from '@jasminepost/core';
 import type {ChunkMessage, EndMessage, FailMessage, HeadMessage, Replica} from '@jasminepost/mesh';
-import type {CancelOutcome, StoredAnswer} from '@jasminepost/platform';
+import type {CancelOutcome, StoredAnswer} from '@jasminepost/key_value';
 import {chooseReplica, decideQuarantine, decideRetry} from '@jasminepost/policy';
 import {AttemptStream} from './attempt_stream.ts';
 import type {Dispatcher} from './dispatcher.ts';
--- a/apps/entry/src/wire.ts
+++ b/apps/entry/src/wire.ts
@@ -24,7 +24,7 @@
   KeyValueClient,
   type KeyValueCall,
   type ListedInstance,
-} from '@jasminepost/platform';
+} from '@jasminepost/key_value';
 import {demandIntervalMs, OrganisationLimiter, RetryBudget, SuspectList} from '@jasminepost/policy';
 import {CallerGateway} from './lib/caller_gateway.ts';
 import {DemandReporter} from './lib/demand_reporter.ts';
--- /dev/null
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -0,0 +1,456 @@
+/** One caller's request from its head to its final answer. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {mayHaveRun, messageOf, notRun, type Verdict} from '@jasminepost/core';
+import {
+  retryAfterHeader,
+  type CallerHead,
+  type Exchange,
+  type ReplicaHead,
+} from '@jasminepost/platform';
+import {chooseReplica, decideRetry} from '@jasminepost/policy';
+import {backendFor, type Generation, type Route} from '@jasminepost/serving';
+import type {GatewayContext} from './gateway_context.ts';
+import type {Ending} from './gateway_metrics.ts';
+import type {LineMember} from './engine_line.ts';
+import type {Replica} from './replica.ts';
+import {SseJoiner} from './sse_joiner.ts';
+
+/** Sends of one request in which no replica ran it. */
+const MAX_SENDS = 3;
+/** A caller leaves a stream that shows no event for this long at least. */
+const MIN_PATIENCE_MS = 2000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
+/** Least time that a request needs at a replica to be worth sending. */
+const MIN_SERVICE_MS = 40;
+/** Two trips across the fleet and the caller's network. */
+const TRAVEL_MS = 25;
+const DEFAULT_RETRY_AFTER_MS = 300;
+
+/** What ended one attempt. */
+interface AttemptEnd {
+  readonly verdict: Verdict;
+  readonly detail: string;
+}
+
+/** @internal */
+export class CallerRequest implements LineMember {
+  readonly arrivedMs: number;
+  readonly service: string;
+  readonly priority: number;
+  readonly sendByMs: number;
+  readonly uselessMs: number;
+  readonly excluded = new Set<string>();
+
+  private readonly deadlineMs: number;
+  private sends = 0;
+  private runs = 0;
+  private replica: Replica | undefined;
+  private exchange: Exchange | undefined;
+  private attempt = 0;
+  private sentMs = 0;
+  private backlogAtSend = 0;
+  private firstEventMs = 0;
+  private started = false;
+  private mayRun = false;
+  private finished = false;
+  private timer: NodeJS.Timeout | undefined;
+  private joiner: SseJoiner | undefined;
+  private readonly canRepeat: boolean;
+
+  constructor(
+    private readonly ctx: GatewayContext,
+    private readonly req: IncomingMessage,
+    private readonly res: ServerResponse,
+    private readonly route: Route,
+    private readonly head: CallerHead,
+    private readonly body: Buffer,
+    startedMs: number,
+  ) {
+    this.arrivedMs = startedMs;
+    this.service = backendFor(route, head.requestId);
+    this.priority = route.priority;
+    this.canRepeat = route.kind === 'idempotent' || route.resumable;
+    const waitMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    this.deadlineMs = startedMs + waitMs;
+    const prefillMs = this.prefillMs();
+    const patienceMs = Math.max(
+      MIN_PATIENCE_MS,
+      PATIENCE_TARGETS * route.targetLatencyMs,
+      PATIENCE_GAPS * route.targetGapMs,
+    );
+    this.sendByMs = startedMs + Math.min(route.targetLatencyMs, waitMs) - prefillMs - TRAVEL_MS;
+    this.uselessMs =
+      Math.min(this.deadlineMs, startedMs + patienceMs) - Math.max(prefillMs, MIN_SERVICE_MS);
+  }
+
+  get generation(): Generation {
+    return this.head.generation ?? NO_GENERATION;
+  }
+
+  start(): void {
+    const {clock} = this.ctx;
+    this.timer = setTimeout(() => this.onDeadline(), this.deadlineMs - clock.monotonicMs());
+    this.res.on('close', () => this.onCallerGone());
+    this.ctx.retryBudget(this.service).countFirst(clock.monotonicMs());
+    this.next();
+  }
+
+  /** Sends the request to a replica; `inputs` are what the choice rests on. */
+  send(replica: Replica, inputs: Readonly<Record<string, unknown>>): void {
+    const {clock, log, metrics} = this.ctx;
+    const nowMs = clock.monotonicMs();
+    const attempt = ++this.attempt;
+    this.sends += 1;
+    this.replica = replica;
+    this.sentMs = nowMs;
+    this.backlogAtSend = replica.unstarted;
+    this.firstEventMs = 0;
+    replica.inFlight += 1;
+    replica.unstarted += 1;
+    replica.kvTokens += this.tokens();
+    metrics.waited.recordMs(nowMs - this.arrivedMs);
+    log.info('request sent', {
+      requestId: this.head.requestId,
+      route: this.route.name,
+      replica: replica.id,
+      send: this.sends,
+      waitedMs: Math.round(nowMs - this.arrivedMs),
+      leftMs: Math.round(this.deadlineMs - nowMs),
+      config: this.ctx.configVersion(),
+      ...inputs,
+    });
+    const live = () => this.attempt === attempt && !this.finished;
+    this.exchange = replica.channel.send(
+      {
+        method: this.req.method ?? 'GET',
+        path: this.req.url ?? '/',
+        rawHeaders: this.req.rawHeaders,
+        body: this.body,
+        fields: {
+          deadlineMs: this.deadlineMs - nowMs,
+          replicaId: replica.id,
+          urgency: this.head.generation === undefined ? undefined : this.urgency(),
+          lastEventId: this.joiner?.lastEventId ?? '',
+        },
+      },
+      {
+        onHead: head => {
+          if (live()) this.onHead(head);
+        },
+        onData: chunk => (live() ? this.onData(chunk) : true),
+        onEnd: () => {
+          if (live()) this.onEnd();
+        },
+        onError: (error, neverSent) => {
+          if (!live()) return;
+          const verdict = neverSent ? notRun('connect_failed') : mayHaveRun('upstream_cut');
+          this.onAttemptFailed({verdict, detail: messageOf(error)}, true);
+        },
+      },
+    );
+  }
+
+  /** Ends the request as not run, or as failed when an earlier attempt may have run. */
+  refuse(reason: string, retryAfterMs: number, inputs: Readonly<Record<string, unknown>>): void {
+    if (this.finished) return;
+    this.ctx.metrics.refusals.increment(reason);
+    if (this.mayRun) {
+      this.fail(502, reason, inputs);
+      return;
+    }
+    const leftMs = this.deadlineMs - this.ctx.clock.monotonicMs();
+    const [name, value] = retryAfterHeader(Math.min(retryAfterMs, Math.max(leftMs, 0)));
+    this.answerOwn(503, reason, {[name]: value});
+    this.finish('refused', {reason, retryAfterMs: Math.round(retryAfterMs), ...inputs});
+  }
+
+  private next(): void {
+    const engine = this.ctx.engineOf(this.service);
+    if (engine !== undefined && this.head.generation !== undefined) {
+      this.ctx.line.submit(this);
+      return;
+    }
+    const {clock, table, zone} = this.ctx;
+    const replicas = table.ofService(this.service);
+    const candidates = replicas.map(replica => replica.asRouteCandidate());
+    const choice = chooseReplica(
+      candidates,
+      {
+        class: 'paid',
+        zone,
+        prefixHash: 0,
+        prefixSavingMs: 0,
+        crossZoneMs: this.ctx.crossZoneMs,
+        entries: this.ctx.gateways(),
+        nowMs: clock.monotonicMs(),
+        excluded: this.excluded,
+      },
+      Math.random,
+    );
+    if (choice.kind === 'none') {
+      this.refuse('no_replica', DEFAULT_RETRY_AFTER_MS, {replicas: replicas.length});
+      return;
+    }
+    const {reportedPaid, ownInFlight, serviceMs} = candidates[choice.index];
+    this.send(replicas[choice.index], {reported: reportedPaid, ownInFlight, serviceMs});
+  }
+
+  private onHead(head: ReplicaHead): void {
+    const replica = this.replica!;
+    const nowMs = this.ctx.clock.monotonicMs();
+    if (head.load !== undefined) replica.onStatedLoad(head.load, nowMs);
+    if (head.requestId !== '' && head.requestId !== this.head.requestId) {
+      // An answer to an earlier request: the connection is out of step.
+      this.exchange?.abort();
+      this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail: 'foreign answer'}, true);
+      return;
+    }
+    if (head.notRun) {
+      if (head.status === 421 && head.replicaId !== '' && head.replicaId !== replica.id) {
+        replica.displaced = true;
+      }
+      this.onAttemptFailed(
+        {verdict: notRun('upstream_refused'), detail: `status ${head.status}`},
+        false,
+      );
+      return;
+    }
+    const detail = this.faultOf(head);
+    if (detail !== undefined) {
+      // A failure that is well formed leaves its connection usable.
+      if (head.status < 400) this.exchange?.abort();
+      this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail}, true);
+      return;
+    }
+    this.relayHead(head);
+  }
+
+  /** Why an answer must not reach the caller; undefined when it may. */
+  private faultOf(head: ReplicaHead): string | undefined {
+    const {status} = head;
+    if (status < 300 && !head.signed) return 'unsigned answer';
+    if (status >= 500 && this.canRetryAnswer()) return `status ${status}`;
+    // These would promise the caller that nothing ran, which the replica has not stated.
+    if (status === 429 || status === 503 || status === 408)
+      return `status ${status} without not-run`;
+    return undefined;
+  }
+
+  private canRetryAnswer(): boolean {
+    return this.route.kind === 'idempotent' && this.runs + 1 < this.route.maxAttempts;
+  }
+
+  private relayHead(head: ReplicaHead): void {
+    if (this.started) return;
+    this.started = true;
+    if (this.route.resumable && head.status === 200) this.joiner ??= new SseJoiner();
+    const headers = [...head.headers];
+    if (this.ctx.isDraining()) headers.push('Connection', 'close');
+    this.res.writeHead(head.status, headers);
+    // The first event may be far off; the head says that the replica has taken the request.
+    this.res.flushHeaders();
+  }
+
+  private onData(chunk: Buffer): boolean {
+    const data = this.joiner === undefined ? chunk : this.joiner.push(chunk);
+    if (this.firstEventMs === 0) this.onFirstEvent();
+    if (data.length === 0) return true;
+    const flowing = this.res.write(data);
+    if (!flowing) this.res.once('drain', () => this.exchange?.resume());
+    return flowing;
+  }
+
+  private onFirstEvent(): void {
+    const nowMs = this.ctx.clock.monotonicMs();
+    const replica = this.replica!;
+    this.firstEventMs = nowMs;
+    replica.unstarted -= 1;
+    this.ctx.metrics.firstEvent.recordMs(nowMs - this.arrivedMs);
+    const {generation} = this.head;
+    if (generation !== undefined) {
+      const spentMs = nowMs - this.sentMs;
+      replica.learnPrefill(spentMs / (this.backlogAtSend + 1));
+      if (this.backlogAtSend === 0) {
+        this.ctx.estimator.learn(generation.model, generation.tokensIn, spentMs);
+      }
+    }
+    this.ctx.line.wake();
+  }
+
+  private onEnd(): void {
+    const replica = this.replica!;
+    const nowMs = this.ctx.clock.monotonicMs();
+    replica.circuit.onSuccess();
+    replica.learnService(nowMs - this.sentMs);
+    this.endAttempt();
+    if (this.joiner?.hasPartial === true) {
+      this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail: 'event cut'}, false);
+      return;
+    }
+    this.res.end();
+    this.finish('answered', {replica: replica.id, status: this.res.statusCode});
+  }
+
+  /** @param countFault - True when the failure speaks against the replica. */
+  private onAttemptFailed(end: AttemptEnd, countFault: boolean): void {
+    const {clock, log, metrics} = this.ctx;
+    const replica = this.replica!;
+    const nowMs = clock.monotonicMs();
+    if (countFault) replica.circuit.onFailure(nowMs);
+    this.endAttempt();
+    this.excluded.add(replica.id);
+    const {verdict} = end;
+    metrics.attemptFailures.increment(verdict.reason);
+    if (verdict.kind === 'may_have_run') {
+      this.runs += 1;
+      this.mayRun = true;
+    }
+    const isNotRun = verdict.kind === 'not_run';
+    const decision = decideRetry({
+      verdict,
+      idempotent: this.canRepeat,
+      answerStarted: this.started,
+      resumable: this.route.resumable,
+      remainingMs: this.deadlineMs - nowMs - MIN_SERVICE_MS,
+      attempts: isNotRun ? this.sends : this.runs,
+      maxAttempts: isNotRun ? MAX_SENDS : this.route.maxAttempts,
+      takeToken: () => this.ctx.retryBudget(this.service).tryRepeat(this.ctx.gateways(), nowMs),
+    });
+    log.info('attempt failed', {
+      requestId: this.head.requestId,
+      replica: replica.id,
+      verdict: verdict.kind,
+      reason: verdict.reason,
+      detail: end.detail,
+      decision: decision.kind,
+      cause: decision.kind === 'give_up' ? decision.cause : '',
+      tookMs: Math.round(nowMs - this.sentMs),
+    });
+    if (decision.kind === 'retry' || decision.kind === 'resume') {
+      this.joiner?.dropPartial();
+      metrics.retries.increment(verdict.reason);
+      this.next();
+      return;
+    }
+    if (isNotRun) this.refuse(verdict.reason, DEFAULT_RETRY_AFTER_MS, {detail: end.detail});
+    else this.fail(502, verdict.reason, {detail: end.detail});
+  }
+
+  private onDeadline(): void {
+    if (this.finished) return;
+    const sent = this.exchange !== undefined;
+    this.ctx.line.withdraw(this);
+    if (sent) this.abandon();
+    if (!sent && this.sends === 0) this.refuse('deadline_passed', 0, {});
+    else this.fail(504, 'deadline_passed', {});
+  }
+
+  private onCallerGone(): void {
+    if (this.finished) return;
+    this.ctx.line.withdraw(this);
+    this.abandon();
+    this.finish('caller_gone', {});
+  }
+
+  private abandon(): void {
+    if (this.exchange === undefined) return;
+    this.exchange.abort();
+    this.endAttempt();
+  }
+
+  private endAttempt(): void {
+    const {replica} = this;
+    if (replica === undefined || this.exchange === undefined) return;
+    this.exchange = undefined;
+    this.attempt += 1;
+    replica.inFlight -= 1;
+    if (this.firstEventMs === 0) replica.unstarted -= 1;
+    replica.kvTokens -= this.tokens();
+    this.ctx.line.wake();
+  }
+
+  /** Ends a request that may have run. */
+  private fail(status: 502 | 504, reason: string, inputs: Readonly<Record<string, unknown>>): void {
+    if (this.finished) return;
+    if (this.started) {
+      // The answer has begun: only a cut connection shows that it is not whole.
+      this.finish('cut', {reason, ...inputs});
+      this.res.destroy();
+      return;
+    }
+    this.answerOwn(status, reason, {});
+    this.finish(status === 504 ? 'timed_out' : 'failed', {reason, ...inputs});
+  }
+
+  private answerOwn(status: number, reason: string, headers: Record<string, string>): void {
+    sendOwnAnswer(this.res, status, reason, this.ctx.isDraining(), headers);
+  }
+
+  private finish(ending: Ending, inputs: Readonly<Record<string, unknown>>): void {
+    if (this.finished) return;
+    this.finished = true;
+    clearTimeout(this.timer);
+    this.ctx.metrics.endings.increment(ending);
+    const nowMs = this.ctx.clock.monotonicMs();
+    this.ctx.log.info('request ended', {
+      requestId: this.head.requestId,
+      route: this.route.name,
+      service: this.service,
+      model: this.head.generation?.model ?? '',
+      adapter: this.head.generation?.adapter ?? '',
+      ending,
+      sends: this.sends,
+      tookMs: Math.round(nowMs - this.arrivedMs),
+      firstEventMs: this.firstEventMs === 0 ? -1 : Math.round(this.firstEventMs - this.arrivedMs),
+      targetMs: this.route.targetLatencyMs,
+      config: this.ctx.configVersion(),
+      ...inputs,
+    });
+    this.ctx.onFinished(this);
+  }
+
+  private prefillMs(): number {
+    const {generation} = this.head;
+    if (generation === undefined) return MIN_SERVICE_MS;
+    return this.ctx.estimator.estimateMs(generation.model, generation.tokensIn);
+  }
+
+  private tokens(): number {
+    const {generation} = this.head;
+    return generation === undefined ? 0 : generation.tokensIn + generation.maxTokensOut;
+  }
+
+  /** Requests whose target is far off let the others go first at the replica, too. */
+  private urgency(): number {
+    return Math.min(9, this.priority * 2 + (this.route.targetLatencyMs > 2000 ? 2 : 0));
+  }
+}
+
+const NO_GENERATION: Generation = {
+  model: '',
+  adapter: '',
+  tokensIn: 0,
+  maxTokensOut: 0,
+  lengthHint: 0,
+  parts: [],
+};
+
+/** Answers a request without a replica. @internal */
+export function sendOwnAnswer(
+  res: ServerResponse,
+  status: number,
+  reason: string,
+  close: boolean,
+  headers: Record<string, string> = {},
+): void {
+  if (res.destroyed) return;
+  const text = JSON.stringify({error: reason});
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(text)),
+    ...(close ? {connection: 'close'} : {}),
+    ...headers,
+  });
+  res.end(text);
+}
--- /dev/null
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -0,0 +1,152 @@
+/** HTTP towards callers: routes, limits, and requests in progress. */
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {messageOf, type HostPort} from '@jasminepost/core';
+import {readCallerHead} from '@jasminepost/platform';
+import type {CallerLimits, RouteTable} from '@jasminepost/serving';
+import {CallerRequest, sendOwnAnswer} from './caller_request.ts';
+import type {GatewayContext} from './gateway_context.ts';
+
+/** Largest head that is parsed at all; the configuration's own limit lies below. */
+const MAX_HEADER_BYTES = 64 * 1024;
+/** Connections that may wait to be accepted. */
+const BACKLOG = 1024;
+
+/** @internal */
+export class CallerServer {
+  readonly running = new Set<CallerRequest>();
+  private readonly server: Server;
+  private routes: RouteTable | undefined;
+  /** Requests whose body is still being read. */
+  private reading = 0;
+
+  constructor(private readonly ctx: () => GatewayContext) {
+    this.server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true}, (req, res) => {
+      this.handle(req, res);
+    });
+  }
+
+  get busy(): number {
+    return this.running.size + this.reading;
+  }
+
+  async listen(address: HostPort): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({port: address.port, host: address.host, backlog: BACKLOG}, resolve);
+    });
+  }
+
+  /** Puts a configuration into force for requests from now on. */
+  applyRoutes(routes: RouteTable): void {
+    this.routes = routes;
+    const {limits} = routes.config;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /** Stops listening and closes the connections that carry no request. */
+  stopAccepting(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
+  onFinished(request: CallerRequest): void {
+    this.running.delete(request);
+  }
+
+  private handle(req: IncomingMessage, res: ServerResponse): void {
+    const ctx = this.ctx();
+    const startedMs = ctx.clock.monotonicMs();
+    // A caller that resets its connection is seen by the response's close event.
+    req.on('error', () => undefined);
+    res.on('error', () => undefined);
+    const {routes} = this;
+    if (routes === undefined) {
+      this.reject(req, res, 503, 'no_configuration');
+      return;
+    }
+    const {limits} = routes.config;
+    const fault = headFault(req, limits);
+    if (fault !== undefined) {
+      this.reject(req, res, fault, fault === 431 ? 'headers_too_large' : 'body_too_large');
+      return;
+    }
+    this.reading += 1;
+    readBody(req, limits.bodyBytes, (body, tooLarge) => {
+      this.reading -= 1;
+      if (tooLarge) this.reject(req, res, 413, 'body_too_large');
+      else if (body !== undefined) this.begin(req, res, body, startedMs);
+    });
+  }
+
+  private begin(req: IncomingMessage, res: ServerResponse, body: Buffer, startedMs: number): void {
+    const ctx = this.ctx();
+    const host = (req.headers.host ?? '').toLowerCase().replace(/:\d+$/, '');
+    const path = (req.url ?? '/').split('?', 1)[0];
+    // The newest configuration counts, which may have come while the body was read.
+    const route = this.routes?.find(host, path);
+    if (route === undefined) {
+      ctx.metrics.endings.increment('no_route');
+      ctx.log.info('request without route', {
+        requestId: req.headers['request-id'] ?? '',
+        host,
+        path,
+        config: ctx.configVersion(),
+      });
+      sendOwnAnswer(res, 404, 'no_route', ctx.isDraining());
+      return;
+    }
+    const head = readCallerHead(req.headers);
+    const request = new CallerRequest(ctx, req, res, route, head, body, startedMs);
+    this.running.add(request);
+    try {
+      request.start();
+    } catch (thrown) {
+      ctx.log.error('request broke', {requestId: head.requestId, error: messageOf(thrown)});
+      this.running.delete(request);
+      res.destroy();
+    }
+  }
+
+  private reject(req: IncomingMessage, res: ServerResponse, status: number, reason: string): void {
+    const ctx = this.ctx();
+    ctx.metrics.endings.increment('rejected');
+    ctx.log.info('request rejected', {requestId: req.headers['request-id'] ?? '', status, reason});
+    sendOwnAnswer(res, status, reason, ctx.isDraining() || status === 413);
+    req.resume();
+  }
+}
+
+function headFault(req: IncomingMessage, limits: CallerLimits): 413 | 431 | undefined {
+  let bytes = 0;
+  for (const part of req.rawHeaders) bytes += part.length + 2;
+  if (bytes > limits.headerBytes) return 431;
+  return Number(req.headers['content-length'] ?? 0) > limits.bodyBytes ? 413 : undefined;
+}
+
+/** Reads a body; calls back with undefined when the caller left before its end. */
+function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+  done: (body: Buffer | undefined, tooLarge: boolean) => void,
+): void {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  let finished = false;
+  const finish = (body: Buffer | undefined, tooLarge: boolean) => {
+    if (finished) return;
+    finished = true;
+    done(body, tooLarge);
+  };
+  req.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > maxBytes) finish(undefined, true);
+    else chunks.push(chunk);
+  });
+  req.on('end', () => finish(Buffer.concat(chunks), false));
+  req.on('close', () => finish(undefined, false));
+}
--- /dev/null
+++ b/apps/gateway/src/lib/demand_meter.ts
@@ -0,0 +1,49 @@
+/** Counts what is asked of each model, for the planner. */
+import type {ModelDemandMessage} from '@jasminepost/mesh';
+import type {Generation} from '@jasminepost/serving';
+import type {PrefillEstimator} from './prefill_estimator.ts';
+
+interface Count {
+  requests: number;
+  prefillMs: number;
+}
+
+/** @internal */
+export class DemandMeter {
+  private counts = new Map<string, Count>();
+  private sinceMs: number;
+
+  constructor(
+    private readonly estimator: PrefillEstimator,
+    nowMs: number,
+  ) {
+    this.sinceMs = nowMs;
+  }
+
+  /** Counts one request, whether it will be served or not. */
+  count(service: string, generation: Generation): void {
+    const key = `${service}/${generation.model}`;
+    const count = this.counts.get(key) ?? {requests: 0, prefillMs: 0};
+    count.requests += 1;
+    count.prefillMs += this.estimator.estimateMs(generation.model, generation.tokensIn);
+    this.counts.set(key, count);
+  }
+
+  /**
+   * Takes what has been counted since the last call.
+   *
+   * @param waitingFor - Requests of `service/model` that wait now.
+   */
+  take(nowMs: number, waitingFor: (key: string) => number): ModelDemandMessage {
+    const models = [...this.counts].map(([name, {requests, prefillMs}]) => ({
+      name,
+      requests,
+      prefillMs: Math.round(prefillMs),
+      waiting: waitingFor(name),
+    }));
+    const intervalMs = Math.round(nowMs - this.sinceMs);
+    this.counts = new Map();
+    this.sinceMs = nowMs;
+    return {type: 'model_demand', intervalMs, models};
+  }
+}
--- /dev/null
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -0,0 +1,244 @@
+/** Generations that wait for a model replica, and their way to one. */
+import {fnv1a32, type Clock} from '@jasminepost/core';
+import {
+  chooseEngine,
+  compareWaiting,
+  waitingState,
+  type EngineCandidate,
+  type EngineNeed,
+  type Waiting,
+} from '@jasminepost/policy';
+import type {EngineSpec, Generation} from '@jasminepost/serving';
+import type {DemandMeter} from './demand_meter.ts';
+import type {PrefillEstimator} from './prefill_estimator.ts';
+import type {Replica} from './replica.ts';
+import type {ReplicaTable} from './replica_table.ts';
+
+/** Backlog of unstarted requests up to which a replica is given more. */
+const MAX_BACKLOG_MS = 220;
+/** Share of a prompt's prefill that a kept prefix is taken to save, at most. */
+const MAX_SAVED_SHARE = 0.5;
+/** Waiting requests are looked at this often when nothing else happens. */
+const SWEEP_MS = 40;
+/** Added to computed waits, so that refused callers do not all return at once. */
+const RETURN_SPREAD_MS = 250;
+/** Least time that a refused caller is asked to stay away. */
+const MIN_RETURN_MS = 80;
+
+/** A generation in the line. @internal */
+export interface LineMember extends Waiting {
+  readonly service: string;
+  readonly generation: Generation;
+  /** Replicas that have refused it. */
+  readonly excluded: ReadonlySet<string>;
+  send(replica: Replica, inputs: Readonly<Record<string, unknown>>): void;
+  refuse(reason: string, retryAfterMs: number, inputs: Readonly<Record<string, unknown>>): void;
+}
+
+/** @internal */
+export interface EngineLineContext {
+  readonly clock: Clock;
+  readonly zone: string;
+  readonly table: ReplicaTable;
+  readonly estimator: PrefillEstimator;
+  readonly demand: DemandMeter;
+  engineOf(service: string): EngineSpec | undefined;
+  /** Asks a replica's steward for an adapter; false when the steward can't be reached. */
+  wishAdapter(replica: Replica, model: string, adapter: string): boolean;
+}
+
+type Placing = 'sent' | 'full' | 'no_holder' | 'adapter';
+
+/** @internal */
+export class EngineLine {
+  private readonly members = new Set<LineMember>();
+  private sweepTimer: NodeJS.Timeout | undefined;
+  private pumpPending = false;
+
+  constructor(private readonly ctx: EngineLineContext) {}
+
+  get length(): number {
+    return this.members.size;
+  }
+
+  /** Sends a request, lets it wait, or refuses it when it certainly can't be served. */
+  submit(member: LineMember): void {
+    const {ctx} = this;
+    const spec = ctx.engineOf(member.service)?.models.get(member.generation.model);
+    if (spec === undefined) {
+      member.refuse('unknown_model', 1000, {model: member.generation.model});
+      return;
+    }
+    ctx.demand.count(member.service, member.generation);
+    const ahead = this.workAheadOf(member);
+    const placing = ahead.members > 0 ? 'full' : this.place(member);
+    if (placing === 'sent') return;
+    const waitMs = placing === 'no_holder' ? this.loadTimeMs(member) : ahead.waitMs;
+    const nowMs = ctx.clock.monotonicMs();
+    if (waitingState(member, nowMs + waitMs) === 'hopeless') {
+      const inputs = {placing, waitMs: Math.round(waitMs), ahead: ahead.members};
+      member.refuse(placing === 'no_holder' ? 'no_holder' : 'line_full', returnMs(waitMs), inputs);
+      return;
+    }
+    this.members.add(member);
+    this.sweepTimer ??= setInterval(() => this.pump(), SWEEP_MS);
+  }
+
+  /** Takes a request out, because its caller or its time has gone. */
+  withdraw(member: LineMember): boolean {
+    return this.members.delete(member);
+  }
+
+  /** Requests of a model that wait, for the planner. */
+  waitingFor(service: string, model: string): number {
+    let count = 0;
+    for (const {service: s, generation} of this.members) {
+      if (s === service && generation.model === model) count += 1;
+    }
+    return count;
+  }
+
+  /** Looks at the line once more after the current events have been handled. */
+  wake(): void {
+    if (this.pumpPending || this.members.size === 0) return;
+    this.pumpPending = true;
+    setImmediate(() => {
+      this.pumpPending = false;
+      this.pump();
+    });
+  }
+
+  dispose(): void {
+    clearInterval(this.sweepTimer);
+  }
+
+  private pump(): void {
+    const nowMs = this.ctx.clock.monotonicMs();
+    const full = new Set<string>();
+    const line = [...this.members].sort((a, b) => compareWaiting(a, b, nowMs));
+    for (const member of line) {
+      if (waitingState(member, nowMs) === 'hopeless') {
+        this.members.delete(member);
+        member.refuse('waited_too_long', returnMs(this.workAheadOf(member).waitMs), {
+          waitedMs: Math.round(nowMs - member.arrivedMs),
+        });
+        continue;
+      }
+      const key = `${member.service}/${member.generation.model}/${member.generation.adapter}`;
+      if (full.has(key)) continue;
+      const placing = this.place(member);
+      if (placing === 'sent') this.members.delete(member);
+      else full.add(key);
+    }
+    if (this.members.size === 0) {
+      clearInterval(this.sweepTimer);
+      this.sweepTimer = undefined;
+    }
+  }
+
+  private place(member: LineMember): Placing {
+    const {ctx} = this;
+    const {service, generation} = member;
+    const nowMs = ctx.clock.monotonicMs();
+    const slots = ctx.engineOf(service)?.slots ?? 0;
+    const holders = ctx.table
+      .holders(service, generation.model)
+      .filter(replica => !member.excluded.has(replica.id));
+    const healthy = holders.filter(replica => !replica.circuit.isOpen(nowMs));
+    const pool = healthy.length > 0 ? healthy : holders;
+    if (pool.length === 0) return 'no_holder';
+    const candidates = pool.map(replica =>
+      replica.asEngineCandidate(generation.adapter, generation.model, slots, nowMs),
+    );
+    const choice = chooseEngine(candidates, this.needOf(generation));
+    if (choice.kind !== 'chosen') return 'full';
+    const candidate = candidates[choice.index];
+    const replica = pool[choice.index];
+    if (generation.adapter !== '') {
+      const asked = ctx.wishAdapter(replica, generation.model, generation.adapter);
+      if (!candidate.hasAdapter)
+        return asked ? 'adapter' : this.placeOnAdapter(member, pool, candidates);
+    }
+    this.dispatch(member, replica, candidate);
+    return 'sent';
+  }
+
+  /** Without its steward a replica gets no adapter, so only those that have it are of use. */
+  private placeOnAdapter(
+    member: LineMember,
+    pool: readonly Replica[],
+    candidates: readonly EngineCandidate[],
+  ): Placing {
+    const having = candidates.filter(candidate => candidate.hasAdapter);
+    const choice = chooseEngine(having, this.needOf(member.generation));
+    if (choice.kind !== 'chosen') return 'adapter';
+    const candidate = having[choice.index];
+    const replica = pool.find(found => found.id === candidate.id);
+    if (replica === undefined) return 'adapter';
+    this.dispatch(member, replica, candidate);
+    return 'sent';
+  }
+
+  private dispatch(member: LineMember, replica: Replica, candidate: EngineCandidate): void {
+    member.send(replica, {
+      unstarted: candidate.unstarted,
+      occupied: candidate.occupied,
+      kvUsed: candidate.kvUsed,
+      prefillMs: Math.round(candidate.prefillMs),
+    });
+  }
+
+  private needOf(generation: Generation): EngineNeed {
+    const {model, adapter, parts, tokensIn, maxTokensOut} = generation;
+    const shared = parts.slice(0, -1);
+    const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+    const savedTokens = Math.min(sharedTokens, tokensIn * MAX_SAVED_SHARE);
+    const last = shared.at(-1);
+    return {
+      zone: this.ctx.zone,
+      prefixHash: last === undefined ? 0 : fnv1a32(`${model}/${adapter}/${last.id}`),
+      adapterHash: adapter === '' ? 0 : fnv1a32(`${model}/${adapter}`),
+      prefixSavingMs: this.ctx.estimator.estimateMs(model, savedTokens),
+      tokens: tokensIn + maxTokensOut,
+      maxBacklogMs: MAX_BACKLOG_MS,
+    };
+  }
+
+  /** Time until the members that go first have been started. */
+  private workAheadOf(member: LineMember): {members: number; waitMs: number} {
+    const nowMs = this.ctx.clock.monotonicMs();
+    const {service, generation} = member;
+    let members = 0;
+    let workMs = 0;
+    for (const other of this.members) {
+      const same = other.service === service && other.generation.model === generation.model;
+      if (!same || other === member || compareWaiting(other, member, nowMs) > 0) continue;
+      members += 1;
+      workMs += this.ctx.estimator.estimateMs(generation.model, other.generation.tokensIn);
+    }
+    const copies = this.ctx.table.holders(service, generation.model).length;
+    return {members, waitMs: workMs / Math.max(1, copies)};
+  }
+
+  /** Time in which some replica could have the model, from the nearest copy of its weights. */
+  private loadTimeMs(member: LineMember): number {
+    const {service, generation} = member;
+    const spec = this.ctx.engineOf(service)?.models.get(generation.model);
+    if (spec === undefined) return Number.POSITIVE_INFINITY;
+    let seconds = Number.POSITIVE_INFINITY;
+    for (const replica of this.ctx.table.ofService(service)) {
+      if (replica.state?.moving === generation.model)
+        seconds = Math.min(seconds, spec.diskLoadS / 2);
+      const {inMemory, onDisk} = replica.copies;
+      if (inMemory.includes(spec.name)) seconds = Math.min(seconds, spec.memoryLoadS);
+      else if (onDisk.includes(spec.name)) seconds = Math.min(seconds, spec.diskLoadS);
+      else seconds = Math.min(seconds, spec.storeLoadS);
+    }
+    return seconds * 1000;
+  }
+}
+
+function returnMs(waitMs: number): number {
+  const boundedMs = Number.isFinite(waitMs) ? waitMs : 1000;
+  return Math.max(MIN_RETURN_MS, boundedMs) + Math.random() * RETURN_SPREAD_MS;
+}
--- /dev/null
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -0,0 +1,126 @@
+/** Follows the platform's store: configuration, replicas and the planner's holder. */
+import {backoffMs, messageOf, sleep, type Logger} from '@jasminepost/core';
+import {
+  CONFIG_KEY,
+  REPLICA_PREFIX,
+  type StoreChange,
+  type StoreClient,
+} from '@jasminepost/platform';
+
+/** A watch that the store lost is found after this and the client's grace. */
+const WATCH_MS = 2500;
+/** Changes that come close together are taken in with one call. */
+const GATHER_MS = 120;
+const RETRY_BASE_MS = 150;
+const RETRY_CAP_MS = 900;
+/** Entries that lapsed in an outage come back within this time after it. */
+const SETTLE_MS = 2000;
+
+/** @internal */
+export interface FleetFeedEvents {
+  onConfig(text: string, revision: number): void;
+  onReplicaSnapshot(changes: readonly StoreChange[], afterOutage: boolean): void;
+  onReplicaChange(change: StoreChange, afterOutage: boolean): void;
+  /** Any other key, such as the planner's holder. */
+  onOther(change: StoreChange): void;
+}
+
+/** @internal */
+export class FleetFeed {
+  private readonly abort = new AbortController();
+  private failures = 0;
+  private revision = -1;
+  private connected = false;
+  private everConnected = false;
+  private settledMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly store: StoreClient,
+    private readonly log: Logger,
+    private readonly events: FleetFeedEvents,
+  ) {}
+
+  /** Revision that was taken in last; -1 before the first. */
+  get seenRevision(): number {
+    return this.revision;
+  }
+
+  start(): void {
+    void this.run();
+  }
+
+  dispose(): void {
+    this.abort.abort();
+  }
+
+  private async run(): Promise<void> {
+    while (!this.abort.signal.aborted) {
+      try {
+        if (this.revision < 0) await this.readAll();
+        else await this.followOnce();
+      } catch (thrown) {
+        if (this.abort.signal.aborted) return;
+        this.onFailure(thrown);
+        await sleep(backoffMs(this.failures, RETRY_BASE_MS, RETRY_CAP_MS), this.abort.signal);
+        this.failures += 1;
+      }
+    }
+  }
+
+  private async readAll(): Promise<void> {
+    const {changes, revision} = await this.store.range('');
+    this.onAnswer();
+    this.revision = revision;
+    this.events.onReplicaSnapshot(
+      changes.filter(change => change.key.startsWith(REPLICA_PREFIX)),
+      this.isSettling(),
+    );
+    for (const change of changes) {
+      if (!change.key.startsWith(REPLICA_PREFIX)) this.deliver(change);
+    }
+  }
+
+  private async followOnce(): Promise<void> {
+    const {signal} = this.abort;
+    const found = await this.store.watch('', this.revision, WATCH_MS, signal);
+    if (signal.aborted) return;
+    this.onAnswer();
+    if (found === undefined) {
+      this.log.warn('store history gone, reading all', {revision: this.revision});
+      this.revision = -1;
+      return;
+    }
+    this.revision = Math.max(this.revision, found.revision);
+    for (const change of found.changes) this.deliver(change);
+    if (found.changes.length > 0) await sleep(GATHER_MS, signal);
+  }
+
+  private deliver(change: StoreChange): void {
+    if (change.key === CONFIG_KEY) {
+      if (change.value !== undefined) this.events.onConfig(change.value, change.revision);
+    } else if (change.key.startsWith(REPLICA_PREFIX)) {
+      this.events.onReplicaChange(change, this.isSettling());
+    } else {
+      this.events.onOther(change);
+    }
+  }
+
+  private isSettling(): boolean {
+    return performance.now() < this.settledMs;
+  }
+
+  private onAnswer(): void {
+    if (this.connected) return;
+    this.connected = true;
+    // The first contact has nothing before it that could have lapsed.
+    if (this.everConnected) this.settledMs = performance.now() + SETTLE_MS;
+    this.everConnected = true;
+    this.log.info('store reached', {failures: this.failures, revision: this.revision});
+    this.failures = 0;
+  }
+
+  private onFailure(thrown: unknown): void {
+    if (this.connected) this.log.warn('store lost', {error: messageOf(thrown)});
+    this.connected = false;
+  }
+}
--- /dev/null
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -0,0 +1,30 @@
+/** What a caller's request needs of the rest of the gateway. */
+import type {Clock, Logger} from '@jasminepost/core';
+import type {WindowBudget} from '@jasminepost/policy';
+import type {EngineSpec} from '@jasminepost/serving';
+import type {CallerRequest} from './caller_request.ts';
+import type {EngineLine} from './engine_line.ts';
+import type {GatewayMetrics} from './gateway_metrics.ts';
+import type {PrefillEstimator} from './prefill_estimator.ts';
+import type {ReplicaTable} from './replica_table.ts';
+
+/** @internal */
+export interface GatewayContext {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: GatewayMetrics;
+  readonly zone: string;
+  /** Round trip to another availability zone, in milliseconds. */
+  readonly crossZoneMs: number;
+  readonly table: ReplicaTable;
+  readonly estimator: PrefillEstimator;
+  readonly line: EngineLine;
+  engineOf(service: string): EngineSpec | undefined;
+  retryBudget(service: string): WindowBudget;
+  /** Gateways that share the retry budget. */
+  gateways(): number;
+  /** Version of the configuration in force; 0 before the first. */
+  configVersion(): number;
+  isDraining(): boolean;
+  onFinished(request: CallerRequest): void;
+}
--- /dev/null
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -0,0 +1,38 @@
+/** Counters and histograms of a gateway. */
+import {MetricRegistry, type CounterFamily, type Histogram} from '@jasminepost/core';
+import type {LinkFault} from '@jasminepost/mesh';
+import type {StoreCall} from '@jasminepost/platform';
+
+/** How a caller's request ended. @internal */
+export type Ending =
+  'answered' | 'refused' | 'failed' | 'cut' | 'timed_out' | 'caller_gone' | 'no_route' | 'rejected';
+
+/** @internal */
+export interface GatewayMetrics {
+  readonly registry: MetricRegistry;
+  readonly endings: CounterFamily<Ending>;
+  readonly refusals: CounterFamily<string>;
+  readonly attemptFailures: CounterFamily<string>;
+  readonly retries: CounterFamily<string>;
+  readonly storeCalls: CounterFamily<StoreCall>;
+  readonly linkFaults: CounterFamily<LinkFault>;
+  readonly firstEvent: Histogram;
+  readonly waited: Histogram;
+}
+
+/** @internal */
+export function createGatewayMetrics(waitingNow: () => number): GatewayMetrics {
+  const registry = new MetricRegistry();
+  registry.gauge('waiting', 'Requests that wait for a replica', waitingNow);
+  return {
+    registry,
+    endings: registry.counter('endings', 'Requests by how they ended', 'ending'),
+    refusals: registry.counter('refusals', 'Requests refused as not run, by reason', 'reason'),
+    attemptFailures: registry.counter('attempt_failures', 'Failed attempts', 'reason'),
+    retries: registry.counter('retries', 'Requests sent once more, by reason', 'reason'),
+    storeCalls: registry.counter('store_calls', 'Calls to the platform store', 'call'),
+    linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
+    firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
+    waited: registry.histogram('waited_ms', 'Time in the line before the request was sent'),
+  };
+}
--- /dev/null
+++ b/apps/gateway/src/lib/prefill_estimator.ts
@@ -0,0 +1,25 @@
+/** Learns how long a prompt takes up to its first event, for each model. */
+
+/** Start of the estimate; a replica of today's size reads about 20 tokens in a millisecond. */
+const INITIAL_MS_PER_TOKEN = 0.055;
+const SAMPLE_WEIGHT = 0.08;
+/** Time up to the first event that does not depend on the prompt. */
+const FIXED_MS = 15;
+
+/** @internal */
+export class PrefillEstimator {
+  private readonly msPerToken = new Map<string, number>();
+
+  /** Expected time up to the first event on an idle replica. */
+  estimateMs(model: string, tokens: number): number {
+    return FIXED_MS + tokens * (this.msPerToken.get(model) ?? INITIAL_MS_PER_TOKEN);
+  }
+
+  /** Takes in a request that found no other before it. */
+  learn(model: string, tokens: number, firstEventMs: number): void {
+    if (tokens <= 0) return;
+    const known = this.msPerToken.get(model) ?? INITIAL_MS_PER_TOKEN;
+    const sample = Math.max(0, firstEventMs - FIXED_MS) / tokens;
+    this.msPerToken.set(model, known + SAMPLE_WEIGHT * (sample - known));
+  }
+}
--- /dev/null
+++ b/apps/gateway/src/lib/readiness_server.ts
@@ -0,0 +1,31 @@
+/** Answers the platform's question whether this gateway takes new connections. */
+import {createServer} from 'node:http';
+import type {Disposable, HostPort} from '@jasminepost/core';
+
+/**
+ * Serves 200 while `notReadyReason` is undefined, otherwise 503 with the reason.
+ *
+ * @example
+ * const server = await serveReadiness(settings.readiness, () => reason);
+ * @internal
+ */
+export async function serveReadiness(
+  address: HostPort,
+  notReadyReason: () => string | undefined,
+): Promise<Disposable> {
+  const server = createServer((_req, res) => {
+    const reason = notReadyReason();
+    res.writeHead(reason === undefined ? 200 : 503, {'content-type': 'text/plain'});
+    res.end(reason ?? 'ready');
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, resolve);
+  });
+  return {
+    dispose: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/apps/gateway/src/lib/replica.ts
@@ -0,0 +1,141 @@
+/** One replica as this gateway sees it. */
+import {fnv1a32} from '@jasminepost/core';
+import type {EngineLoadMessage, EngineStateMessage} from '@jasminepost/mesh';
+import type {ReplicaChannel, StatedLoad} from '@jasminepost/platform';
+import {Circuit, type EngineCandidate, type RouteCandidate} from '@jasminepost/policy';
+import type {HeldModel, ReplicaEntry, WeightCopies} from '@jasminepost/serving';
+
+/** A steward's load report older than this says nothing of the replica's load now. */
+const LOAD_VALID_MS = 1500;
+/** Start of the estimate of one request's time at a plain service. */
+const INITIAL_SERVICE_MS = 50;
+/** Start of the estimate of the time up to a first event. */
+const INITIAL_PREFILL_MS = 80;
+const ESTIMATE_WEIGHT = 0.1;
+
+/** @internal */
+export class Replica {
+  readonly idHash: number;
+  readonly circuit = new Circuit();
+  /** Newest account of the steward beside it; undefined while there is no link. */
+  state: EngineStateMessage | undefined;
+  /** Requests of this gateway in progress there. */
+  inFlight = 0;
+  /** Those without a first event. */
+  unstarted = 0;
+  /** Tokens that those in progress hold or will hold. */
+  kvTokens = 0;
+  serviceMs = INITIAL_SERVICE_MS;
+  prefillMs = INITIAL_PREFILL_MS;
+  /** False once the platform no longer lists it; requests in progress go on. */
+  listed = true;
+  /** True when another replica answered at its address. */
+  displaced = false;
+
+  private load: EngineLoadMessage | undefined;
+  private loadMs = Number.NEGATIVE_INFINITY;
+  private atLoad = {inFlight: 0, unstarted: 0, kvTokens: 0};
+  private stated: StatedLoad | undefined;
+  private statedMs = 0;
+  private inFlightAtStated = 0;
+
+  constructor(
+    public entry: ReplicaEntry,
+    readonly channel: ReplicaChannel,
+  ) {
+    this.idHash = fnv1a32(entry.id);
+  }
+
+  get id(): string {
+    return this.entry.id;
+  }
+
+  /** True when new requests may go there. */
+  get usable(): boolean {
+    return this.listed && !this.entry.leaving && !this.displaced;
+  }
+
+  /** What it holds: its steward's word if that is of the same incarnation, else its entry's. */
+  get models(): readonly HeldModel[] {
+    return this.stewardAccount()?.models ?? this.entry.models;
+  }
+
+  get copies(): WeightCopies {
+    return this.stewardAccount() ?? this.entry.copies;
+  }
+
+  get gateways(): number {
+    return this.load?.gateways ?? 0;
+  }
+
+  holds(model: string, adapter: string): boolean {
+    const held = this.models.find(found => found.name === model);
+    return held !== undefined && (adapter === '' || held.adapters.includes(adapter));
+  }
+
+  onLoad(load: EngineLoadMessage, nowMs: number): void {
+    this.load = load;
+    this.loadMs = nowMs;
+    this.atLoad = {
+      inFlight: this.inFlight,
+      unstarted: this.unstarted,
+      kvTokens: this.kvTokens,
+    };
+  }
+
+  onStatedLoad(load: StatedLoad, nowMs: number): void {
+    this.stated = load;
+    this.statedMs = nowMs;
+    this.inFlightAtStated = this.inFlight;
+  }
+
+  learnPrefill(prefillMs: number): void {
+    this.prefillMs += ESTIMATE_WEIGHT * (prefillMs - this.prefillMs);
+  }
+
+  learnService(servedMs: number): void {
+    this.serviceMs += ESTIMATE_WEIGHT * (servedMs - this.serviceMs);
+  }
+
+  asEngineCandidate(adapter: string, model: string, slots: number, nowMs: number): EngineCandidate {
+    const known = nowMs - this.loadMs < LOAD_VALID_MS ? this.load : undefined;
+    const since = (own: 'inFlight' | 'unstarted' | 'kvTokens', reported: number) =>
+      known === undefined
+        ? this[own]
+        : Math.max(this[own], reported + this[own] - this.atLoad[own]);
+    return {
+      id: this.id,
+      idHash: this.idHash,
+      zone: this.entry.zone,
+      hasAdapter: this.holds(model, adapter),
+      unstarted: since('unstarted', (known?.prefilling ?? 0) + (known?.waiting ?? 0)),
+      occupied: since('inFlight', (known?.running ?? 0) + (known?.waiting ?? 0)),
+      slots,
+      kvUsed: since('kvTokens', known?.kvUsed ?? 0),
+      kvTotal: known?.kvTotal ?? Number.POSITIVE_INFINITY,
+      prefillMs: this.prefillMs,
+    };
+  }
+
+  asRouteCandidate(): RouteCandidate {
+    return {
+      id: this.id,
+      idHash: this.idHash,
+      zone: this.entry.zone,
+      reportedPaid: (this.stated?.running ?? 0) + (this.stated?.waiting ?? 0),
+      reportedTrial: 0,
+      serviceMs: this.serviceMs,
+      reportedMs: this.statedMs,
+      ownInFlight: this.inFlight,
+      ownAtReport: this.inFlightAtStated,
+      slots: Math.max(1, this.entry.slots),
+      isBlocked: nowMs => this.circuit.isOpen(nowMs),
+    };
+  }
+
+  private stewardAccount(): (EngineStateMessage & WeightCopies) | undefined {
+    const {state, entry} = this;
+    if (state === undefined || !state.up) return undefined;
+    return entry.bornMs === 0 || state.bornMs === entry.bornMs ? state : undefined;
+  }
+}
--- /dev/null
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -0,0 +1,167 @@
+/** All replicas that the platform lists, and which of them hold which model. */
+import type {Clock, Logger} from '@jasminepost/core';
+import {decodeReplicaEntry, ReplicaChannel, type StoreChange} from '@jasminepost/platform';
+import type {ReplicaEntry, Service} from '@jasminepost/serving';
+import {Replica} from './replica.ts';
+
+/** Entries that lapsed in an outage of the store are back this long after its return. */
+const RETURN_GRACE_MS = 2000;
+/** Longest time that a replica which has left keeps its connections for requests in progress. */
+const LINGER_MS = 30_000;
+
+/** @internal */
+export interface ReplicaTableEvents {
+  onAdded(replica: Replica): void;
+  onRemoved(replica: Replica): void;
+  /** What may be chosen has changed. */
+  onChanged(): void;
+}
+
+/** @internal */
+export class ReplicaTable {
+  readonly replicas = new Map<string, Replica>();
+  private readonly malformed = new Set<string>();
+  /** Keys that were missing after an outage, until the grace ends. */
+  private readonly missing = new Set<string>();
+  private graceTimer: NodeJS.Timeout | undefined;
+  private services: ReadonlyMap<string, Service> = new Map();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly log: Logger,
+    private readonly events: ReplicaTableEvents,
+  ) {}
+
+  /** Sets the services of the configuration in force. */
+  applyServices(services: ReadonlyMap<string, Service>): void {
+    this.services = services;
+  }
+
+  /** Takes in a whole read of the entries; `afterOutage` gives missing ones time to come back. */
+  applySnapshot(changes: readonly StoreChange[], afterOutage: boolean): void {
+    const present = new Set(changes.map(change => change.key));
+    for (const replica of [...this.replicas.values()]) {
+      if (replica.listed && !present.has(keyOf(replica))) {
+        this.remove(keyOf(replica), afterOutage);
+      }
+    }
+    for (const change of changes) this.applyChange(change, afterOutage);
+  }
+
+  applyChange(change: StoreChange, afterOutage: boolean): void {
+    if (change.value === undefined) {
+      this.remove(change.key, afterOutage);
+      return;
+    }
+    this.missing.delete(change.key);
+    const decoded = decodeReplicaEntry(change.key, change.value);
+    if (decoded.ok) {
+      this.malformed.delete(change.key);
+      this.put(decoded.value);
+    } else {
+      this.skip(change.key, decoded.error);
+    }
+  }
+
+  /** Usable replicas of a service. */
+  ofService(service: string): Replica[] {
+    const found: Replica[] = [];
+    for (const replica of this.replicas.values()) {
+      if (replica.entry.service === service && replica.usable) found.push(replica);
+    }
+    return found;
+  }
+
+  /** Usable replicas of a service that hold a model. */
+  holders(service: string, model: string): Replica[] {
+    return this.ofService(service).filter(replica => replica.holds(model, ''));
+  }
+
+  dispose(): void {
+    clearTimeout(this.graceTimer);
+    for (const replica of this.replicas.values()) replica.channel.destroy();
+  }
+
+  private put(entry: ReplicaEntry): void {
+    const known = this.replicas.get(entry.id);
+    if (known !== undefined && sameInstance(known.entry, entry)) {
+      this.logState(known.entry, entry);
+      known.entry = entry;
+      known.listed = true;
+      this.events.onChanged();
+      return;
+    }
+    if (known !== undefined) this.drop(known, 'reborn');
+    const maxConnections = this.services.get(entry.service)?.maxConnections ?? 64;
+    const replica = new Replica(entry, new ReplicaChannel(entry.address, maxConnections));
+    this.replicas.set(entry.id, replica);
+    this.log.info('replica listed', {
+      replica: entry.id,
+      service: entry.service,
+      zone: entry.zone,
+      leaving: entry.leaving,
+      bornMs: entry.bornMs,
+    });
+    this.events.onAdded(replica);
+    this.events.onChanged();
+  }
+
+  private logState(before: ReplicaEntry, after: ReplicaEntry): void {
+    if (before.leaving === after.leaving) return;
+    this.log.info('replica state', {replica: after.id, leaving: after.leaving});
+  }
+
+  private skip(key: string, error: string): void {
+    if (this.malformed.has(key)) return;
+    this.malformed.add(key);
+    this.log.warn('replica entry skipped', {key, error});
+  }
+
+  private remove(key: string, afterOutage: boolean): void {
+    this.malformed.delete(key);
+    const replica = [...this.replicas.values()].find(found => keyOf(found) === key);
+    if (replica === undefined || !replica.listed) return;
+    if (!afterOutage) {
+      this.drop(replica, 'entry removed');
+      return;
+    }
+    this.missing.add(key);
+    this.log.info('replica missing after outage', {replica: replica.id});
+    this.graceTimer ??= setTimeout(() => this.endGrace(), RETURN_GRACE_MS);
+  }
+
+  private endGrace(): void {
+    this.graceTimer = undefined;
+    const missing = [...this.missing];
+    this.missing.clear();
+    for (const key of missing) this.remove(key, false);
+  }
+
+  private drop(replica: Replica, reason: string): void {
+    replica.listed = false;
+    this.replicas.delete(replica.id);
+    this.log.info('replica gone', {replica: replica.id, reason, inFlight: replica.inFlight});
+    const untilMs = this.clock.monotonicMs() + LINGER_MS;
+    const close = () => {
+      const lingers = replica.inFlight > 0 && this.clock.monotonicMs() < untilMs;
+      if (lingers) setTimeout(close, 1000).unref();
+      else replica.channel.destroy();
+    };
+    close();
+    this.events.onRemoved(replica);
+    this.events.onChanged();
+  }
+}
+
+function keyOf(replica: Replica): string {
+  return replica.entry.key;
+}
+
+function sameInstance(a: ReplicaEntry, b: ReplicaEntry): boolean {
+  return (
+    a.bornMs === b.bornMs &&
+    a.service === b.service &&
+    a.address.host === b.address.host &&
+    a.address.port === b.address.port
+  );
+}
--- /dev/null
+++ b/apps/gateway/src/lib/steward_links.ts
@@ -0,0 +1,140 @@
+/** Links to the stewards beside the model replicas. */
+import {Disposer, type Clock, type CounterFamily, type Logger} from '@jasminepost/core';
+import {
+  MeshClient,
+  type HelloGuard,
+  type LinkFault,
+  type MemberInfo,
+  type MeshMessage,
+  type PlacementMessage,
+} from '@jasminepost/mesh';
+import type {Replica} from './replica.ts';
+
+const LIVENESS_CHECK_MS = 500;
+const MISSED_LOADS = 4;
+const MIN_SILENCE_MS = 2000;
+/** A steward is told at most this often that an adapter is in use. */
+const WISH_INTERVAL_MS = 250;
+
+interface StewardLink {
+  readonly client: MeshClient;
+  readonly replicas: Set<Replica>;
+  /** When each adapter was last wished for. */
+  readonly wishes: Map<string, number>;
+}
+
+/** @internal */
+export class StewardLinks {
+  private readonly byHost = new Map<string, StewardLink>();
+  private readonly disposer = new Disposer();
+
+  constructor(
+    private readonly self: MemberInfo,
+    private readonly guard: HelloGuard,
+    private readonly port: number,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+    private readonly faults: CounterFamily<LinkFault>,
+    private readonly onChanged: () => void,
+  ) {
+    this.disposer.interval(LIVENESS_CHECK_MS, () => this.checkLiveness());
+  }
+
+  /** Opens the link to the steward beside a replica, unless there is one. */
+  add(replica: Replica): void {
+    const {host} = replica.entry.address;
+    const link = this.byHost.get(host) ?? this.open(host);
+    link.replicas.add(replica);
+    this.identify(link, replica);
+  }
+
+  remove(replica: Replica): void {
+    const {host} = replica.entry.address;
+    const link = this.byHost.get(host);
+    if (link === undefined) return;
+    link.replicas.delete(replica);
+    if (link.replicas.size > 0) return;
+    this.byHost.delete(host);
+    link.client.dispose();
+  }
+
+  isLinked(replica: Replica): boolean {
+    return this.byHost.get(replica.entry.address.host)?.client.link !== undefined;
+  }
+
+  /** Asks for an adapter or states that it is in use; false without a link. */
+  wishAdapter(replica: Replica, model: string, adapter: string): boolean {
+    const link = this.byHost.get(replica.entry.address.host);
+    if (link?.client.link === undefined || replica.state?.up !== true) return false;
+    const key = `${model}/${adapter}`;
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - (link.wishes.get(key) ?? Number.NEGATIVE_INFINITY) < WISH_INTERVAL_MS) return true;
+    link.wishes.set(key, nowMs);
+    return link.client.link.send({type: 'adapter_wish', model, adapter});
+  }
+
+  place(replica: Replica, message: PlacementMessage): boolean {
+    const link = this.byHost.get(replica.entry.address.host);
+    return link?.client.link?.send(message) ?? false;
+  }
+
+  dispose(): void {
+    this.disposer.dispose();
+    for (const link of this.byHost.values()) link.client.dispose();
+    this.byHost.clear();
+  }
+
+  private open(host: string): StewardLink {
+    const client: MeshClient = new MeshClient(
+      {host, port: this.port},
+      this.self,
+      this.guard,
+      {
+        onUp: () => {
+          this.log.info('steward linked', {host});
+          for (const replica of link.replicas) this.identify(link, replica);
+        },
+        onMessage: (_client, message) => this.receive(link, message),
+        onDown: (_client, fault) => this.lose(host, link, fault),
+        isAwaiting: () => false,
+      },
+      this.faults,
+    );
+    const link: StewardLink = {client, replicas: new Set(), wishes: new Map()};
+    this.byHost.set(host, link);
+    return link;
+  }
+
+  private identify(link: StewardLink, replica: Replica): void {
+    const {id, bornMs} = replica.entry;
+    link.client.link?.send({type: 'replica_identity', id, bornMs});
+  }
+
+  private receive(link: StewardLink, message: MeshMessage): void {
+    switch (message.type) {
+      case 'engine_state':
+        for (const replica of link.replicas) replica.state = message;
+        this.onChanged();
+        return;
+      case 'engine_load':
+        link.client.silenceLimitMs = Math.max(MIN_SILENCE_MS, MISSED_LOADS * message.nextMs);
+        for (const replica of link.replicas) replica.onLoad(message, this.clock.monotonicMs());
+        this.onChanged();
+        return;
+      default:
+        this.log.warn('message of this type is not for a gateway', {type: message.type});
+    }
+  }
+
+  private lose(host: string, link: StewardLink, fault: LinkFault): void {
+    this.log.warn('steward lost', {host, fault});
+    for (const replica of link.replicas) replica.state = undefined;
+    link.wishes.clear();
+    this.onChanged();
+  }
+
+  private checkLiveness(): void {
+    const nowMs = performance.now();
+    for (const {client} of this.byHost.values()) client.checkLiveness(nowMs);
+  }
+}
--- a/apps/sidecar/src/lib/attempt.ts
+++ b/apps/sidecar/src/lib/attempt.ts
@@ -9,7 +9,7 @@
 } from '@jasminepost/core';
 import {streamCompletion} from '@jasminepost/engine';
 import type {MeshLink, StartMessage} from '@jasminepost/mesh';
-import type {StoredAnswer} from '@jasminepost/platform';
+import type {StoredAnswer} from '@jasminepost/key_value';
 import type {Ticket} from '@jasminepost/policy';
 import {callService} from '@jasminepost/service';
 import type {AnswerChannel} from './answer_channel.ts';
--- a/apps/sidecar/src/lib/claim_runner.ts
+++ b/apps/sidecar/src/lib/claim_runner.ts
@@ -11,7 +11,7 @@
   type Logger,
   type Verdict,
 } from '@jasminepost/core';
-import type {ClaimStore, ClaimTicket} from '@jasminepost/platform';
+import type {ClaimStore, ClaimTicket} from '@jasminepost/key_value';
 import type {Attempt} from './attempt.ts';
 import type {SidecarMetrics} from './sidecar_metrics.ts';
 
--- a/apps/sidecar/src/lib/engine_steward.ts
+++ b/apps/sidecar/src/lib/engine_steward.ts
@@ -2,7 +2,7 @@
 import {Disposer, messageOf, type Clock, type Logger} from '@jasminepost/core';
 import type {EngineClient, EngineState} from '@jasminepost/engine';
 import type {ModelDeclaration} from '@jasminepost/operator';
-import type {FenceCounter} from '@jasminepost/platform';
+import type {FenceCounter} from '@jasminepost/key_value';
 import {MemoryLedger} from '@jasminepost/policy';
 import type {SidecarMetrics} from './sidecar_metrics.ts';
 
--- a/apps/sidecar/src/lib/planner.ts
+++ b/apps/sidecar/src/lib/planner.ts
@@ -10,7 +10,7 @@
   type KeyValueClient,
   type PlanDocument,
   type TermLease,
-} from '@jasminepost/platform';
+} from '@jasminepost/key_value';
 import {
   DemandTracker,
   TRIAL_DEMAND_WEIGHT,
--- a/apps/sidecar/src/lib/planner_fleet.ts
+++ b/apps/sidecar/src/lib/planner_fleet.ts
@@ -1,7 +1,7 @@
 /** Links to all sidecars, open only while this one plans. */
 import type {CounterFamily} from '@jasminepost/core';
 import {Fleet, type HelloGuard, type LinkFault, type MemberInfo} from '@jasminepost/mesh';
-import type {ListedInstance} from '@jasminepost/platform';
+import type {ListedInstance} from '@jasminepost/key_value';
 
 /** @internal */
 export class PlannerFleet {
--- a/apps/sidecar/src/wire.ts
+++ b/apps/sidecar/src/wire.ts
@@ -21,7 +21,7 @@
   planKeyOf,
   TermLease,
   type KeyValueCall,
-} from '@jasminepost/platform';
+} from '@jasminepost/key_value';
 import {
   AdmissionQueue,
   reportIntervalMs,
--- a/features/steps/at_most_once_steps.ts
+++ b/features/steps/at_most_once_steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {CounterFamily, SystemClock} from '@jasminepost/core';
-import {ClaimStore, KeyValueClient, type KeyValueCall} from '@jasminepost/platform';
+import {ClaimStore, KeyValueClient, type KeyValueCall} from '@jasminepost/key_value';
 import {callService, type ServiceAnswer} from '../support/caller.ts';
 import {FleetProcess, freePort} from '../support/fleet_process.ts';
 import {ORDER_FAULTS} from '../support/order_faults.ts';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export {BoundedLogStream, openStandardOutput} from './lib/bounded_log_stream.ts';
 export {assert, exhaustive} from './lib/assert.ts';
 export {SystemClock, type Clock} from './lib/clock.ts';
 export {checkDaemonSettings, DAEMON_SETTINGS, type DaemonSettings} from './lib/daemon_settings.ts';
--- a/packages/core/src/lib/logger.ts
+++ b/packages/core/src/lib/logger.ts
@@ -1,5 +1,6 @@
-/** Structured logs: one JSON object a line on standard error. */
+/** Structured logs: one JSON object a line on standard output. */
 import winston from 'winston';
+import {BoundedLogStream, openStandardOutput} from './bounded_log_stream.ts';
 
 /** @public */
 export type Logger = winston.Logger;
@@ -29,6 +30,8 @@
       winston.format.timestamp(),
       winston.format.json(),
     ),
-    transports: [new winston.transports.Stream({stream: process.stderr})],
+    transports: [
+      new winston.transports.Stream({stream: new BoundedLogStream(openStandardOutput())}),
+    ],
   });
 }
--- a/packages/platform/src/index.ts
+++ b/packages/key_value/src/index.ts
@@ -1,9 +1,5 @@
-export {
-  KeyValueClient,
-  type KeyValueCall,
-  type KeyValueEntry,
-  type WriteOutcome,
-} from './lib/key_value_client.ts';
+export {KeyValueClient, type KeyValueCall, type KeyValueEntry} from './lib/key_value_client.ts';
+export type {KeyValueStore, StoredEntry, WriteOutcome} from './lib/key_value_store.ts';
 export {KeyWatcher} from './lib/key_watcher.ts';
 export {InstanceListClient, type ListedInstance} from './lib/instance_list_client.ts';
 export {
--- a/packages/platform/src/lib/claim_store.ts
+++ b/packages/key_value/src/lib/claim_store.ts
@@ -7,7 +7,8 @@
  */
 import {z} from 'zod';
 import {fnv1a32, PlatformError, type Clock} from '@jasminepost/core';
-import type {KeyValueClient, KeyValueEntry, WriteOutcome} from './key_value_client.ts';
+import type {KeyValueClient, KeyValueEntry} from './key_value_client.ts';
+import type {WriteOutcome} from './key_value_store.ts';
 
 const SHARDS = 64;
 const MAX_CONFLICTS = 4;
--- a/packages/platform/src/lib/fence_counter.ts
+++ b/packages/key_value/src/lib/fence_counter.ts
@@ -1,5 +1,5 @@
 /** Fencing numbers of one upstream's sidecars: each start takes a range above all earlier ones. */
-import type {KeyValueClient} from './key_value_client.ts';
+import type {KeyValueStore} from './key_value_store.ts';
 
 /** Orders that one sidecar process can number. */
 const ORDERS_PER_START = 1_000_000;
@@ -10,7 +10,7 @@
   private epoch = 0;
 
   constructor(
-    private readonly kv: KeyValueClient,
+    private readonly kv: KeyValueStore,
     private readonly upstream: string,
   ) {}
 
--- a/packages/platform/src/lib/key_value_client.ts
+++ b/packages/key_value/src/lib/key_value_client.ts
@@ -2,6 +2,7 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import {messageOf, neverSent, PlatformError, type CounterFamily} from '@jasminepost/core';
+import type {KeyValueStore, StoredEntry, WriteOutcome} from './key_value_store.ts';
 
 const CALL_TIMEOUT_MS = 2000;
 /** Added to a watch's own wait so that the service answers first. */
@@ -17,17 +18,12 @@
 const writeReply = z.object({version: z.number()});
 const leaseReply = z.object({leaseId: z.string()});
 
-/** One key with its version; versions of a key only grow. @public */
-export type KeyValueEntry = z.infer<typeof entrySchema>;
+/** @public */
+export type KeyValueEntry = StoredEntry;
 
 /** Kinds of calls, as counted. @public */
 export type KeyValueCall = 'get' | 'list' | 'write' | 'lease' | 'renew' | 'watch';
 
-/** Result of a conditional write that the service has answered. @public */
-export type WriteOutcome =
-  | {readonly kind: 'written'; readonly version: number}
-  | {readonly kind: 'conflict'; readonly entry: KeyValueEntry | null};
-
 interface Reply {
   readonly status: number;
   readonly body: unknown;
@@ -39,7 +35,7 @@
  *
  * @public
  */
-export class KeyValueClient {
+export class KeyValueClient implements KeyValueStore {
   private readonly agent = new Agent({connections: 4, pipelining: 1, connect: {timeout: 1000}});
   /** Watches wait long; they must not hold up the other calls. */
   private readonly watchAgent = new Agent({connections: null, connect: {timeout: 1000}});
--- a/packages/platform/src/lib/term_lease.ts
+++ b/packages/key_value/src/lib/term_lease.ts
@@ -1,7 +1,7 @@
 /** A role that at most one process holds at a time, with a term that only grows. */
 import {z} from 'zod';
 import {messageOf, RepeatingTask, type Clock, type Logger} from '@jasminepost/core';
-import type {KeyValueClient} from './key_value_client.ts';
+import type {KeyValueStore} from './key_value_store.ts';
 
 const START_SPREAD_MS = 500;
 
@@ -21,7 +21,7 @@
   private readonly task = new RepeatingTask(() => this.step());
 
   constructor(
-    private readonly kv: KeyValueClient,
+    private readonly kv: KeyValueStore,
     private readonly key: string,
     private readonly holder: string,
     private readonly ttlMs: number,
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -19,7 +19,7 @@
   id: name,
   /** Grows with each start of the process. */
   incarnation: count,
-  role: z.enum(['entry', 'sidecar', 'operator']),
+  role: z.enum(['entry', 'sidecar', 'operator', 'gateway', 'steward']),
   zone: name,
 });
 
@@ -169,6 +169,63 @@
 });
 const operatorReply = z.object({type: z.literal('operator_reply'), json: z.string()});
 
+/** A steward's account of what its replica holds; sent on connect and on change. */
+const engineState = z.object({
+  type: z.literal('engine_state'),
+  /** False while the replica does not answer. */
+  up: z.boolean(),
+  /** Start of the replica's incarnation, in milliseconds since the Unix epoch. */
+  bornMs: z.number(),
+  models: z.array(z.object({name, adapters: z.array(name).max(4096)})).max(4096),
+  /** Model that is being loaded or unloaded; empty when none is. */
+  moving: z.string().max(MAX_NAME),
+  inMemory: z.array(name).max(4096),
+  onDisk: z.array(name).max(4096),
+});
+
+/** Work at a model replica; also the heartbeat. */
+const engineLoad = z.object({
+  type: z.literal('engine_load'),
+  running: count,
+  waiting: count,
+  /** Running requests without a first event. */
+  prefilling: count,
+  kvUsed: count,
+  kvTotal: count,
+  /** Gateways linked to this steward. */
+  gateways: count,
+  nextMs: count,
+});
+
+/** Tells a steward which replica runs beside it, as the platform lists it. */
+const replicaIdentity = z.object({
+  type: z.literal('replica_identity'),
+  id: name,
+  bornMs: z.number(),
+});
+
+/** Asks for an adapter, or states that one is in use. */
+const adapterWish = z.object({type: z.literal('adapter_wish'), model: name, adapter: name});
+
+/** The planner's order to change what a replica holds. */
+const placement = z.object({
+  type: z.literal('placement'),
+  term: count,
+  /** Empty when nothing is to be unloaded first. */
+  unload: z.string().max(MAX_NAME),
+  /** Empty when nothing is to be loaded. */
+  load: z.string().max(MAX_NAME),
+  /** False when only a copy on the replica itself may be used. */
+  fromStore: z.boolean(),
+});
+
+/** Demand for models that one gateway has seen since its last message to the planner. */
+const modelDemand = z.object({
+  type: z.literal('model_demand'),
+  intervalMs: count,
+  models: z.array(z.object({name, requests: count, prefillMs: count, waiting: count})).max(4096),
+});
+
 const anyMessage = z.discriminatedUnion('type', [
   challenge,
   hello,
@@ -191,6 +248,12 @@
   fail,
   operatorAsk,
   operatorReply,
+  engineState,
+  engineLoad,
+  replicaIdentity,
+  adapterWish,
+  placement,
+  modelDemand,
 ]);
 
 /** @public */
@@ -227,6 +290,14 @@
 export type EndMessage = z.infer<typeof end>;
 /** @public */
 export type FailMessage = z.infer<typeof fail>;
+/** @public */
+export type EngineStateMessage = z.infer<typeof engineState>;
+/** @public */
+export type EngineLoadMessage = z.infer<typeof engineLoad>;
+/** @public */
+export type ModelDemandMessage = z.infer<typeof modelDemand>;
+/** @public */
+export type PlacementMessage = z.infer<typeof placement>;
 
 /**
  * Checks a decoded frame.
--- a/packages/operator/src/lib/accept.ts
+++ b/packages/operator/src/lib/accept.ts
@@ -1,6 +1,6 @@
 /** Puts a reviewed declaration into force with one conditional write. */
 import {newId, PlatformError} from '@jasminepost/core';
-import type {KeyValueClient, KeyValueEntry} from '@jasminepost/platform';
+import type {KeyValueClient, KeyValueEntry} from '@jasminepost/key_value';
 import {CONFIG_KEY, encodeConfig, parseConfig, type ConfigDocument} from './config_document.ts';
 import type {Declaration} from './declaration.ts';
 
--- a/packages/operator/src/lib/config_follower.ts
+++ b/packages/operator/src/lib/config_follower.ts
@@ -1,6 +1,6 @@
 /** Follows the configuration from the platform and from peers. */
 import type {Disposable, Logger, MetricRegistry} from '@jasminepost/core';
-import {KeyWatcher, type KeyValueClient} from '@jasminepost/platform';
+import {KeyWatcher, type KeyValueClient} from '@jasminepost/key_value';
 import {CONFIG_KEY} from './config_document.ts';
 import {ConfigKeeper, type ConfigOffer} from './config_keeper.ts';
 import {ConfigSpreader, type SpreadLink} from './config_spreader.ts';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -32,3 +32,11 @@
 export {DemandTracker, TRIAL_DEMAND_WEIGHT} from './lib/demand.ts';
 export {OrganisationLimiter, type LimitRefusal} from './lib/organisation_limiter.ts';
 export {demandIntervalMs, reportIntervalMs} from './lib/report_interval.ts';
+export {WindowBudget, type WindowBudgetLimits} from './lib/window_budget.ts';
+export {
+  chooseEngine,
+  type EngineCandidate,
+  type EngineChoice,
+  type EngineNeed,
+} from './lib/engine_choice.ts';
+export {compareWaiting, waitingState, type Waiting, type WaitingState} from './lib/waiting_line.ts';
--- /dev/null
+++ b/packages/serving/src/index.ts
@@ -0,0 +1,21 @@
+export {
+  backendFor,
+  RouteTable,
+  type Backend,
+  type CallerLimits,
+  type EngineSpec,
+  type FleetConfig,
+  type ModelSpec,
+  type RequestKind,
+  type Route,
+  type Service,
+} from './lib/fleet_config.ts';
+export type {
+  EngineOrder,
+  EngineReport,
+  HeldModel,
+  OrderOutcome,
+  ReplicaEntry,
+  WeightCopies,
+} from './lib/replica_entry.ts';
+export type {Generation, PromptPart} from './lib/generation.ts';
--- /dev/null
+++ b/packages/serving/src/lib/generation.ts
@@ -0,0 +1,20 @@
+/** What a request to a model says of its size. */
+
+/** One part of a prompt; requests that share leading parts share their KV cache. @public */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** @public */
+export interface Generation {
+  readonly model: string;
+  /** Empty when the request wants the plain model. */
+  readonly adapter: string;
+  readonly tokensIn: number;
+  readonly maxTokensOut: number;
+  /** The caller's estimate of the tokens out; 0 when not given. */
+  readonly lengthHint: number;
+  /** In the order of the prompt; the last part is the request's own. */
+  readonly parts: readonly PromptPart[];
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -5,6 +5,7 @@
 const entryPoints = {
   'jasminepost-entry': 'apps/entry/src/main.ts',
   'jasminepost-sidecar': 'apps/sidecar/src/main.ts',
+  'jasminepost-gateway': 'apps/gateway/src/main.ts',
   jasminepost: 'apps/cli/src/main.ts',
 };
 for (const file of readdirSync('stand_ins')) {
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -26,14 +26,14 @@
   },
   {
     name: 'a cancelled attempt may still claim',
-    file: 'packages/platform/src/lib/claim_store.ts',
+    file: 'packages/key_value/src/lib/claim_store.ts',
     find: "if (found.cancelled.includes(attemptId)) return {kind: 'cancelled'};",
     replace: '',
     features: ['features/at_most_once.feature', '--name', 'does not run later'],
   },
   {
     name: 'a lost write answer counts as not written',
-    file: 'packages/platform/src/lib/claim_store.ts',
+    file: 'packages/key_value/src/lib/claim_store.ts',
     find: 'if (!unknown) throw thrown;',
     replace: 'throw thrown;',
     features: ['features/at_most_once.feature', '--name', 'a lost answer to the claim'],
