Give orders through stewards, planned by one gateway

One steward beside each model replica is the only holder that ever orders it; adapters are loaded when a request asks for them, models by the planner's placements.

--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -14,6 +14,7 @@
   readonly refusals: CounterFamily<string>;
   readonly attemptFailures: CounterFamily<string>;
   readonly retries: CounterFamily<string>;
+  readonly placements: CounterFamily<string>;
   readonly storeCalls: CounterFamily<StoreCall>;
   readonly linkFaults: CounterFamily<LinkFault>;
   readonly firstEvent: Histogram;
@@ -30,6 +31,7 @@
     refusals: registry.counter('refusals', 'Requests refused as not run, by reason', 'reason'),
     attemptFailures: registry.counter('attempt_failures', 'Failed attempts', 'reason'),
     retries: registry.counter('retries', 'Requests sent once more, by reason', 'reason'),
+    placements: registry.counter('placements', 'Models placed, by source of weights', 'source'),
     storeCalls: registry.counter('store_calls', 'Calls to the platform store', 'call'),
     linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
     firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
--- /dev/null
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -0,0 +1,74 @@
+/** Sends this gateway's demand to the planner, wherever it is. */
+import {Disposer, type CounterFamily, type HostPort, type Logger} from '@jasminepost/core';
+import {
+  MeshClient,
+  type HelloGuard,
+  type LinkFault,
+  type MemberInfo,
+  type ModelDemandMessage,
+} from '@jasminepost/mesh';
+
+const REPORT_INTERVAL_MS = 250;
+/** The planner answers probes only; a link is probed after half of this. */
+const SILENCE_LIMIT_MS = 4000;
+
+/** @internal */
+export class PlannerLink {
+  private client: MeshClient | undefined;
+  private address: HostPort | undefined;
+  private readonly disposer = new Disposer();
+
+  constructor(
+    private readonly self: MemberInfo,
+    private readonly own: HostPort,
+    private readonly guard: HelloGuard,
+    private readonly log: Logger,
+    private readonly faults: CounterFamily<LinkFault>,
+    private readonly takeDemand: () => ModelDemandMessage,
+    private readonly onOwnDemand: (message: ModelDemandMessage) => void,
+  ) {
+    this.disposer.interval(REPORT_INTERVAL_MS, () => this.report());
+  }
+
+  /** Follows the role to its holder; undefined while nobody holds it. */
+  setHolder(address: HostPort | undefined): void {
+    if (address?.host === this.address?.host && address?.port === this.address?.port) return;
+    this.log.info('planner known', {host: address?.host ?? '', before: this.address?.host ?? ''});
+    this.client?.dispose();
+    this.client = undefined;
+    this.address = address;
+    if (address === undefined || this.isOwn(address)) return;
+    this.client = new MeshClient(
+      address,
+      this.self,
+      this.guard,
+      {
+        onUp: () => this.log.info('planner linked', {host: address.host}),
+        onMessage: () => undefined,
+        onDown: (_client, fault) => this.log.info('planner lost', {host: address.host, fault}),
+        isAwaiting: () => false,
+      },
+      this.faults,
+    );
+    this.client.silenceLimitMs = SILENCE_LIMIT_MS;
+  }
+
+  dispose(): void {
+    this.disposer.dispose();
+    this.client?.dispose();
+  }
+
+  private report(): void {
+    this.client?.checkLiveness(performance.now());
+    const own = this.address !== undefined && this.isOwn(this.address);
+    const link = this.client?.link;
+    if (!own && link === undefined) return;
+    const demand = this.takeDemand();
+    if (own) this.onOwnDemand(demand);
+    else link?.send(demand);
+  }
+
+  private isOwn(address: HostPort): boolean {
+    return address.host === this.own.host && address.port === this.own.port;
+  }
+}
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -9,7 +9,8 @@
   SystemClock,
   type Logger,
 } from '@jasminepost/core';
-import {HelloGuard, type MemberInfo} from '@jasminepost/mesh';
+import {TermLease} from '@jasminepost/key_value';
+import {HelloGuard, MeshServer, type MemberInfo} from '@jasminepost/mesh';
 import {decodeConfig, readProcessSettings, StoreClient} from '@jasminepost/platform';
 import {WindowBudget} from '@jasminepost/policy';
 import {RouteTable, type FleetConfig} from '@jasminepost/serving';
@@ -19,6 +20,9 @@
 import {FleetFeed} from './lib/fleet_feed.ts';
 import type {GatewayContext} from './lib/gateway_context.ts';
 import {createGatewayMetrics} from './lib/gateway_metrics.ts';
+import {PlannerDesk} from './lib/planner_desk.ts';
+import {holderAddress, PLANNER_KEY} from './lib/planner_role.ts';
+import {PlannerLink} from './lib/planner_link.ts';
 import {PrefillEstimator} from './lib/prefill_estimator.ts';
 import {serveReadiness} from './lib/readiness_server.ts';
 import {ReplicaTable} from './lib/replica_table.ts';
@@ -103,6 +107,56 @@
     onFinished: request => server.onFinished(request),
   };
   const server = new CallerServer(() => ctx);
+  let plannerKnown = false;
+  const lease = new TermLease(
+    store,
+    PLANNER_KEY,
+    `${own.ip}:${own.meshPort}`,
+    Math.max(PLANNER_LEASE_MS, own.minLeaseMs),
+    clock,
+    log,
+    () => (plannerKnown ? HELD_LOOK_MS : FREE_LOOK_MS),
+  );
+  const planner = new PlannerDesk({
+    clock,
+    log,
+    lease,
+    loadWindowS: own.bounds.loadWindowS,
+    loadOvershoot: own.bounds.loadOvershoot,
+    engines: () =>
+      [...(config?.services.values() ?? [])].flatMap(({name, engine}) =>
+        engine === undefined ? [] : [{service: name, spec: engine}],
+      ),
+    replicasOf: service => table.ofService(service),
+    isLinked: replica => links.isLinked(replica),
+    place: (replica, message) => links.place(replica, message),
+    onMove: (_service, move) => metrics.placements.increment(move.source),
+  });
+  const plannerLink = new PlannerLink(
+    self,
+    {host: own.ip, port: own.meshPort},
+    guard,
+    log,
+    metrics.linkFaults,
+    () =>
+      demand.take(clock.monotonicMs(), key => {
+        const cut = key.indexOf('/');
+        return line.waitingFor(key.slice(0, cut), key.slice(cut + 1));
+      }),
+    message => planner.takeDemand(own.id, message),
+  );
+  const mesh = new MeshServer(
+    self,
+    guard,
+    {
+      onLink: () => undefined,
+      onMessage: (link, message) => {
+        if (message.type === 'model_demand') planner.takeDemand(link.peer?.id ?? '', message);
+      },
+      onLinkLost: () => undefined,
+    },
+    metrics.linkFaults,
+  );
   const feed = new FleetFeed(store, log, {
     onConfig: (text, revision) => {
       const decoded = decodeConfig(text);
@@ -128,7 +182,13 @@
       replicasRead = true;
     },
     onReplicaChange: (change, afterOutage) => table.applyChange(change, afterOutage),
-    onOther: () => undefined,
+    onOther: change => {
+      const holder = holderAddress(change);
+      if (holder === undefined) return;
+      plannerKnown = holder.address !== undefined;
+      plannerLink.setHolder(holder.address);
+      if (!plannerKnown) lease.lookSoon();
+    },
   });
   const notReadyReason = () => {
     if (draining) return 'draining';
@@ -136,7 +196,9 @@
     return replicasRead ? undefined : 'no replicas read';
   };
   feed.start();
+  lease.start();
   await server.listen(own.callers);
+  await mesh.listen({host: own.ip, port: own.meshPort});
   await serveReadiness(own.readiness, notReadyReason);
   await startAdmin(settings, log, metrics.registry, notReadyReason);
   log.info('started', {zone: own.zone, ip: own.ip, graceMs: own.bounds.graceMs});
@@ -154,6 +216,10 @@
       server.closeIdle();
     }
     log.info('stopped', {unfinished: server.busy, tookMs: clock.monotonicMs() - startedMs});
+    lease.dispose();
+    planner.dispose();
+    plannerLink.dispose();
+    mesh.close();
     feed.dispose();
     links.dispose();
     line.dispose();
@@ -161,6 +227,11 @@
   });
 }
 
+/** Term of the planner's lease: a lost planner is replaced after this. */
+const PLANNER_LEASE_MS = 2000;
+/** Looks at the role while it is free, and while the feed shows a holder. */
+const FREE_LOOK_MS = 300;
+const HELD_LOOK_MS = 8000;
 /** Gateways assumed before the stewards have counted them. */
 const ASSUMED_GATEWAYS = 4;
 
--- /dev/null
+++ b/apps/steward/src/lib/engine_watch.ts
@@ -0,0 +1,137 @@
+/** Reads one replica's report again and again and tells the gateways what has changed. */
+import type {Clock, Logger, Result} from '@jasminepost/core';
+import type {EngineLoadMessage, EngineStateMessage, MeshMessage} from '@jasminepost/mesh';
+import type {EngineReport} from '@jasminepost/serving';
+
+/** Reports come from the same machine and are free. */
+const POLL_MS = 50;
+/** Gateways hear of load this often when it changes, and at least this often. */
+const LOAD_INTERVAL_MS = 100;
+const LOAD_HEARTBEAT_MS = 800;
+/** Failed reports in a row after which the replica counts as down. */
+const FAILURES_TO_DOWN = 2;
+
+/** @internal */
+export interface EngineWatchContext {
+  readonly clock: Clock;
+  readonly log: Logger;
+  report(): Promise<Result<EngineReport, string>>;
+  broadcast(message: MeshMessage): void;
+  gateways(): number;
+  moving(): string;
+  unloading(): string;
+  onReport(report: EngineReport): void;
+  onRestart(): void;
+}
+
+/** @internal */
+export class EngineWatch {
+  report: EngineReport | undefined;
+  private failures = 0;
+  private stateText = '';
+  private loadText = '';
+  private loadSentMs = Number.NEGATIVE_INFINITY;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly ctx: EngineWatchContext) {}
+
+  start(): void {
+    void this.poll();
+  }
+
+  dispose(): void {
+    clearTimeout(this.timer);
+  }
+
+  /** Reads a report now; undefined while the replica does not answer. */
+  async refresh(): Promise<EngineReport | undefined> {
+    const read = await this.ctx.report();
+    if (read.ok) this.take(read.value);
+    else this.onFailure(read.error);
+    this.publish();
+    return read.ok ? read.value : undefined;
+  }
+
+  /** Tells the gateways of the state if it differs from what they were told last. */
+  publish(): void {
+    const state = this.stateMessage();
+    const text = JSON.stringify(state);
+    if (text !== this.stateText) {
+      this.stateText = text;
+      this.ctx.broadcast(state);
+    }
+    this.publishLoad();
+  }
+
+  stateMessage(): EngineStateMessage {
+    const {report, ctx} = this;
+    const unloading = ctx.unloading();
+    return {
+      type: 'engine_state',
+      up: report !== undefined,
+      bornMs: report?.bornMs ?? 0,
+      models: (report?.models ?? [])
+        .filter(model => model.name !== unloading)
+        .map(({name, adapters}) => ({name, adapters: [...adapters]})),
+      moving: ctx.moving(),
+      inMemory: [...(report?.copies.inMemory ?? [])],
+      onDisk: [...(report?.copies.onDisk ?? [])],
+    };
+  }
+
+  loadMessage(): EngineLoadMessage {
+    const {report} = this;
+    return {
+      type: 'engine_load',
+      running: Math.round(report?.running ?? 0),
+      waiting: Math.round(report?.waiting ?? 0),
+      prefilling: report?.prefilling ?? 0,
+      kvUsed: Math.round(report?.kvUsed ?? 0),
+      kvTotal: Math.round(report?.kvTotal ?? 0),
+      gateways: this.ctx.gateways(),
+      nextMs: LOAD_HEARTBEAT_MS,
+    };
+  }
+
+  private async poll(): Promise<void> {
+    await this.refresh();
+    this.timer = setTimeout(() => void this.poll(), POLL_MS);
+  }
+
+  private take(report: EngineReport): void {
+    const {ctx} = this;
+    const before = this.report;
+    if (this.failures >= FAILURES_TO_DOWN || before === undefined) {
+      ctx.log.info('replica answers', {bornMs: report.bornMs, sequence: report.sequence});
+    }
+    this.failures = 0;
+    const restarted =
+      before !== undefined &&
+      (before.bornMs !== report.bornMs || report.sequence < before.sequence);
+    if (restarted) {
+      ctx.log.warn('replica restarted', {bornMs: report.bornMs, before: before.bornMs});
+      ctx.onRestart();
+    }
+    this.report = report;
+    ctx.onReport(report);
+  }
+
+  private onFailure(error: string): void {
+    this.failures += 1;
+    if (this.failures !== FAILURES_TO_DOWN) return;
+    this.ctx.log.warn('replica does not answer', {error});
+    this.report = undefined;
+  }
+
+  private publishLoad(): void {
+    const nowMs = this.ctx.clock.monotonicMs();
+    const sinceMs = nowMs - this.loadSentMs;
+    if (sinceMs < LOAD_INTERVAL_MS) return;
+    const load = this.loadMessage();
+    const text = JSON.stringify(load);
+    if (text === this.loadText && sinceMs < LOAD_HEARTBEAT_MS) return;
+    this.loadText = text;
+    this.loadSentMs = nowMs;
+    this.ctx.broadcast(load);
+  }
+}
--- /dev/null
+++ b/apps/steward/src/lib/order_desk.ts
@@ -0,0 +1,241 @@
+/** Gives orders to one replica, one after the other, and never more than it can hold. */
+import type {Clock, CounterFamily, Logger} from '@jasminepost/core';
+import type {FenceCounter} from '@jasminepost/key_value';
+import type {PlacementMessage} from '@jasminepost/mesh';
+import {chooseAdapterVictim, chargedMb} from '@jasminepost/policy';
+import type {EngineOrder, EngineReport, EngineSpec, OrderOutcome} from '@jasminepost/serving';
+
+/** What the desk needs of the replica and of the rest of the steward. @internal */
+export interface OrderDeskContext {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly orders: CounterFamily<string>;
+  readonly fence: FenceCounter;
+  readonly holder: string;
+  order(order: EngineOrder): Promise<OrderOutcome>;
+  /** Reads a fresh report and publishes it; undefined while the replica is down. */
+  refresh(): Promise<EngineReport | undefined>;
+  spec(): EngineSpec | undefined;
+  replicaId(): string;
+  /** Called when the model that is being moved changes. */
+  onMoving(): void;
+}
+
+interface Move {
+  readonly operation: 'load' | 'unload';
+  readonly model: string;
+}
+
+/** A placement that has not been carried out by then was planned for another state. */
+const PLACEMENT_VALID_MS = 4000;
+/** Adapters wished for longer ago have no request waiting for them any more. */
+const WISH_VALID_MS = 3000;
+const POLL_MS = 4;
+const MAX_ADAPTER_POLLS = 25;
+const BUSY_POLL_MS = 60;
+const REFUSED_PAUSE_MS = 30;
+
+/** @internal */
+export class OrderDesk {
+  /** Model that is being loaded or unloaded. */
+  private move: Move | undefined;
+  private placement: {message: PlacementMessage; atMs: number} | undefined;
+  private readonly wishes = new Map<string, {model: string; adapter: string; atMs: number}>();
+  /** When each adapter was last wished for or said to be in use. */
+  private readonly used = new Map<string, number>();
+  private working = false;
+
+  constructor(private readonly ctx: OrderDeskContext) {}
+
+  get moving(): string {
+    return this.move?.model ?? '';
+  }
+
+  /** Model that must get no new requests because it is about to go. */
+  get unloading(): string {
+    return this.move?.operation === 'unload' ? this.move.model : '';
+  }
+
+  wishAdapter(model: string, adapter: string): void {
+    const key = `${model}/${adapter}`;
+    const atMs = this.ctx.clock.monotonicMs();
+    this.used.set(key, atMs);
+    this.wishes.set(key, {model, adapter, atMs});
+    void this.work();
+  }
+
+  place(message: PlacementMessage): void {
+    this.placement = {message, atMs: this.ctx.clock.monotonicMs()};
+    void this.work();
+  }
+
+  /** Forgets what was in progress at a replica that has restarted. */
+  onRestart(): void {
+    this.move = undefined;
+    this.placement = undefined;
+  }
+
+  /** Takes in a report: a replica that is no longer busy has finished its move. */
+  onReport(report: EngineReport): void {
+    if (this.move === undefined || report.busy) return;
+    const held = report.models.some(model => model.name === this.move?.model);
+    const done = this.move.operation === 'load' ? held : !held;
+    if (done) this.ctx.log.info('move done', {...this.move, sequence: report.sequence});
+    this.move = undefined;
+    this.ctx.onMoving();
+  }
+
+  private async work(): Promise<void> {
+    if (this.working) return;
+    this.working = true;
+    try {
+      while (await this.step());
+    } finally {
+      this.working = false;
+    }
+  }
+
+  /** One order at most; false when nothing is left to do. */
+  private async step(): Promise<boolean> {
+    this.forgetOld();
+    if (this.wishes.size === 0 && this.placement === undefined) return false;
+    const spec = this.ctx.spec();
+    if (spec === undefined || !this.ctx.fence.ready) return this.pause(BUSY_POLL_MS);
+    const report = await this.ctx.refresh();
+    if (report === undefined) return this.pause(BUSY_POLL_MS);
+    // What an unknown move will occupy can't be charged.
+    if (report.busy && this.move === undefined) return this.pause(BUSY_POLL_MS);
+    if (await this.serveWish(report, spec)) return true;
+    if (this.placement === undefined) return this.wishes.size > 0 && this.pause(BUSY_POLL_MS);
+    if (report.busy || this.move !== undefined) return this.pause(BUSY_POLL_MS);
+    return this.servePlacement(this.placement.message, report, spec);
+  }
+
+  /** Gives one order for an adapter that is wished for; false when none can be given now. */
+  private async serveWish(report: EngineReport, spec: EngineSpec): Promise<boolean> {
+    for (const [key, {model, adapter}] of this.wishes) {
+      const held = report.models.find(found => found.name === model);
+      const present = held?.adapters.includes(adapter) === true;
+      if (held === undefined || present || model === this.unloading) {
+        this.wishes.delete(key);
+        continue;
+      }
+      if (report.incoming.includes(key)) continue;
+      const sizeMb = spec.models.get(model)?.adapterMb ?? 0;
+      const adapters = heldAdapters(report);
+      const full = adapters.length + report.incoming.length >= spec.adapterSlots;
+      const noRoom = chargedMb(report, spec, this.moving) + sizeMb > spec.weightsMb;
+      if (!full && !noRoom) {
+        await this.give(report, 'load', model, adapter);
+        await this.awaitAdapter(key);
+        return true;
+      }
+      const victim = chooseAdapterVictim(adapters, this.used, this.ctx.clock.monotonicMs());
+      if (victim === undefined) continue;
+      const slash = victim.indexOf('/');
+      await this.give(report, 'unload', victim.slice(0, slash), victim.slice(slash + 1));
+      return true;
+    }
+    return false;
+  }
+
+  private async servePlacement(
+    message: PlacementMessage,
+    report: EngineReport,
+    spec: EngineSpec,
+  ): Promise<boolean> {
+    const holds = (name: string) => report.models.some(model => model.name === name);
+    if (message.unload !== '' && holds(message.unload)) {
+      await this.giveMove(report, 'unload', message.unload);
+      return true;
+    }
+    const {load} = message;
+    const size = spec.models.get(load)?.weightsMb;
+    if (load === '' || holds(load) || size === undefined) {
+      this.placement = undefined;
+      return true;
+    }
+    const onReplica = [...report.copies.inMemory, ...report.copies.onDisk].includes(load);
+    const charged = chargedMb(report, spec, '');
+    if (charged + size > spec.weightsMb || (!onReplica && !message.fromStore)) {
+      this.ctx.log.info('placement dropped', {load, charged, size, onReplica, term: message.term});
+      this.placement = undefined;
+      return true;
+    }
+    if (await this.giveMove(report, 'load', load)) this.placement = undefined;
+    return true;
+  }
+
+  private async giveMove(
+    report: EngineReport,
+    operation: 'load' | 'unload',
+    model: string,
+  ): Promise<boolean> {
+    this.move = {operation, model};
+    this.ctx.onMoving();
+    const outcome = await this.give(report, operation, model, '');
+    if (outcome.kind === 'accepted') return true;
+    this.move = undefined;
+    this.ctx.onMoving();
+    return outcome.kind === 'already_holds';
+  }
+
+  private async give(
+    report: EngineReport,
+    operation: 'load' | 'unload',
+    model: string,
+    adapter: string,
+  ): Promise<OrderOutcome> {
+    const {ctx} = this;
+    const order: EngineOrder = {
+      operation,
+      model,
+      adapter,
+      // A lost order that is carried out late finds another sequence and does nothing.
+      expectedSequence: report.sequence,
+      holder: ctx.holder,
+      fence: ctx.fence.take(),
+      replicaId: ctx.replicaId(),
+    };
+    const outcome = await ctx.order(order);
+    ctx.orders.increment(outcome.kind);
+    ctx.log.info('order', {...order, outcome: outcome.kind, ...detailOf(outcome)});
+    if (outcome.kind === 'refused') await this.pause(REFUSED_PAUSE_MS);
+    return outcome;
+  }
+
+  /** Looks often until an adapter has arrived, because a request waits for it. */
+  private async awaitAdapter(key: string): Promise<void> {
+    for (let i = 0; i < MAX_ADAPTER_POLLS; i++) {
+      const report = await this.ctx.refresh();
+      if (report === undefined || !report.incoming.includes(key)) return;
+      await this.pause(POLL_MS);
+    }
+  }
+
+  private forgetOld(): void {
+    const nowMs = this.ctx.clock.monotonicMs();
+    for (const [key, {atMs}] of this.wishes) {
+      if (nowMs - atMs > WISH_VALID_MS) this.wishes.delete(key);
+    }
+    if (this.placement !== undefined && nowMs - this.placement.atMs > PLACEMENT_VALID_MS) {
+      const {load, unload, term} = this.placement.message;
+      this.ctx.log.info('placement lapsed', {load, unload, term});
+      this.placement = undefined;
+    }
+  }
+
+  private async pause(delayMs: number): Promise<boolean> {
+    await new Promise(resolve => setTimeout(resolve, delayMs));
+    return true;
+  }
+}
+
+function heldAdapters(report: EngineReport): string[] {
+  return report.models.flatMap(({name, adapters}) => adapters.map(adapter => `${name}/${adapter}`));
+}
+
+function detailOf(outcome: OrderOutcome): object {
+  if (outcome.kind === 'refused') return {status: outcome.status};
+  return outcome.kind === 'unknown' ? {error: outcome.error} : {};
+}
--- a/packages/core/src/lib/repeating_task.ts
+++ b/packages/core/src/lib/repeating_task.ts
@@ -21,12 +21,20 @@
     this.timer.unref();
   }
 
+  /** Brings a scheduled run forward to now; a run in progress is left alone. */
+  wake(): void {
+    if (this.timer === undefined) return;
+    clearTimeout(this.timer);
+    this.start(0);
+  }
+
   dispose(): void {
     this.stopped = true;
     clearTimeout(this.timer);
   }
 
   private async runOnce(): Promise<void> {
+    this.timer = undefined;
     const delayMs = await this.run();
     this.start(delayMs);
   }
--- a/packages/key_value/src/lib/term_lease.ts
+++ b/packages/key_value/src/lib/term_lease.ts
@@ -40,6 +40,11 @@
     this.task.start(Math.random() * START_SPREAD_MS);
   }
 
+  /** Looks at the role now, because it has become free. */
+  lookSoon(): void {
+    if (this.heldTerm() === 0) this.task.wake();
+  }
+
   dispose(): void {
     this.task.dispose();
     this.heldUntilMs = 0;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -40,3 +40,12 @@
   type EngineNeed,
 } from './lib/engine_choice.ts';
 export {compareWaiting, waitingState, type Waiting, type WaitingState} from './lib/waiting_line.ts';
+export {chargedMb, chooseAdapterVictim} from './lib/engine_memory.ts';
+export {
+  planEngines,
+  wantedCopies,
+  type EngineMove,
+  type PlanInput,
+  type PlanModel,
+  type PlanReplica,
+} from './lib/engine_plan.ts';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -6,6 +6,7 @@
   'jasminepost-entry': 'apps/entry/src/main.ts',
   'jasminepost-sidecar': 'apps/sidecar/src/main.ts',
   'jasminepost-gateway': 'apps/gateway/src/main.ts',
+  'jasminepost-steward': 'apps/steward/src/main.ts',
   jasminepost: 'apps/cli/src/main.ts',
 };
 for (const file of readdirSync('stand_ins')) {
