--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -21,6 +21,8 @@
 const MIN_PATIENCE_MS = 2000;
 const PATIENCE_TARGETS = 4;
 const PATIENCE_GAPS = 8;
+/** A target that leaves time to load a model from a replica's disk. */
+const PATIENT_TARGET_MS = 3500;
 /** Least time that a request needs at a replica to be worth sending. */
 const MIN_SERVICE_MS = 40;
 /** Two trips across the fleet and the caller's network. */
@@ -41,6 +43,7 @@
   readonly sendByMs: number;
   readonly uselessMs: number;
   readonly excluded = new Set<string>();
+  readonly patient: boolean;
 
   private readonly deadlineMs: number;
   private sends = 0;
@@ -56,6 +59,8 @@
   private finished = false;
   private timer: NodeJS.Timeout | undefined;
   private joiner: SseJoiner | undefined;
+  /** True when the answer to the caller ends with its connection. */
+  private unframed = false;
   private readonly canRepeat: boolean;
 
   constructor(
@@ -70,6 +75,7 @@
     this.arrivedMs = startedMs;
     this.service = backendFor(route, head.requestId);
     this.priority = route.priority;
+    this.patient = route.targetLatencyMs >= PATIENT_TARGET_MS;
     this.canRepeat = route.kind === 'idempotent' || route.resumable;
     const waitMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     this.deadlineMs = startedMs + waitMs;
@@ -246,7 +252,13 @@
     this.started = true;
     if (this.route.resumable && head.status === 200) this.joiner ??= new SseJoiner();
     const headers = [...head.headers];
-    if (this.ctx.isDraining()) headers.push('Connection', 'close');
+    const bodiless = this.req.method === 'HEAD' || head.status === 204 || head.status === 304;
+    if (head.unframed && !bodiless) {
+      // Whether the replica's body is whole is not known, so the framing must not vouch for it.
+      this.res.useChunkedEncodingByDefault = false;
+      this.unframed = true;
+    }
+    if (this.ctx.isDraining() || this.unframed) headers.push('Connection', 'close');
     this.res.writeHead(head.status, headers);
     // The first event may be far off; the head says that the replica has taken the request.
     this.res.flushHeaders();
@@ -376,7 +388,8 @@
     if (this.started) {
       // The answer has begun: only a cut connection shows that it is not whole.
       this.finish('cut', {reason, ...inputs});
-      this.res.destroy();
+      // Without a length an orderly close would look like the end of the answer.
+      this.res.socket?.resetAndDestroy();
       return;
     }
     this.answerOwn(status, reason, {});
@@ -423,7 +436,7 @@
 
   /** Requests whose target is far off let the others go first at the replica, too. */
   private urgency(): number {
-    return Math.min(9, this.priority * 2 + (this.route.targetLatencyMs > 2000 ? 2 : 0));
+    return Math.min(9, this.priority * 2 + (this.patient ? 2 : 0));
   }
 }
 
--- a/apps/gateway/src/lib/demand_meter.ts
+++ b/apps/gateway/src/lib/demand_meter.ts
@@ -5,6 +5,8 @@
 
 interface Count {
   requests: number;
+  /** Requests that can't wait until the model has been loaded. */
+  urgent: number;
   prefillMs: number;
 }
 
@@ -21,10 +23,11 @@
   }
 
   /** Counts one request, whether it will be served or not. */
-  count(service: string, generation: Generation): void {
+  count(service: string, generation: Generation, patient: boolean): void {
     const key = `${service}/${generation.model}`;
-    const count = this.counts.get(key) ?? {requests: 0, prefillMs: 0};
+    const count = this.counts.get(key) ?? {requests: 0, urgent: 0, prefillMs: 0};
     count.requests += 1;
+    if (!patient) count.urgent += 1;
     count.prefillMs += this.estimator.estimateMs(generation.model, generation.tokensIn);
     this.counts.set(key, count);
   }
@@ -35,9 +38,10 @@
    * @param waitingFor - Requests of `service/model` that wait now.
    */
   take(nowMs: number, waitingFor: (key: string) => number): ModelDemandMessage {
-    const models = [...this.counts].map(([name, {requests, prefillMs}]) => ({
+    const models = [...this.counts].map(([name, {requests, urgent, prefillMs}]) => ({
       name,
       requests,
+      urgent,
       prefillMs: Math.round(prefillMs),
       waiting: waitingFor(name),
     }));
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -22,6 +22,8 @@
 const SWEEP_MS = 40;
 /** Added to computed waits, so that refused callers do not all return at once. */
 const RETURN_SPREAD_MS = 250;
+/** Another gateway takes a caller at once. */
+const LEAVING_RETURN_MS = 50;
 /** Least time that a refused caller is asked to stay away. */
 const MIN_RETURN_MS = 80;
 
@@ -29,6 +31,8 @@
 export interface LineMember extends Waiting {
   readonly service: string;
   readonly generation: Generation;
+  /** True when its target leaves time to load the model first. */
+  readonly patient: boolean;
   /** Replicas that have refused it. */
   readonly excluded: ReadonlySet<string>;
   send(replica: Replica, inputs: Readonly<Record<string, unknown>>): void;
@@ -43,15 +47,20 @@
   readonly estimator: PrefillEstimator;
   readonly demand: DemandMeter;
   engineOf(service: string): EngineSpec | undefined;
-  /** Asks a replica's steward for an adapter; false when the steward can't be reached. */
-  wishAdapter(replica: Replica, model: string, adapter: string): boolean;
+  /** True once the gateway has only the time to finish what has been sent. */
+  isClosing(): boolean;
+  /** True when the replica's steward can load an adapter now. */
+  canLoadAdapter(replica: Replica): boolean;
+  /** Asks a replica's steward for an adapter, or tells it that one is in use. */
+  wishAdapter(replica: Replica, model: string, adapter: string): void;
 }
 
 type Placing = 'sent' | 'full' | 'no_holder' | 'adapter';
 
 /** @internal */
 export class EngineLine {
-  private readonly members = new Set<LineMember>();
+  /** Waiting requests and what kept each of them from being sent. */
+  private readonly members = new Map<LineMember, Placing>();
   private sweepTimer: NodeJS.Timeout | undefined;
   private pumpPending = false;
 
@@ -69,10 +78,14 @@
       member.refuse('unknown_model', 1000, {model: member.generation.model});
       return;
     }
-    ctx.demand.count(member.service, member.generation);
+    ctx.demand.count(member.service, member.generation, member.patient);
     const ahead = this.workAheadOf(member);
     const placing = ahead.members > 0 ? 'full' : this.place(member);
     if (placing === 'sent') return;
+    if (ctx.isClosing()) {
+      member.refuse('leaving', LEAVING_RETURN_MS, {placing});
+      return;
+    }
     const waitMs = placing === 'no_holder' ? this.loadTimeMs(member) : ahead.waitMs;
     const nowMs = ctx.clock.monotonicMs();
     if (waitingState(member, nowMs + waitMs) === 'hopeless') {
@@ -80,7 +93,7 @@
       member.refuse(placing === 'no_holder' ? 'no_holder' : 'line_full', returnMs(waitMs), inputs);
       return;
     }
-    this.members.add(member);
+    this.members.set(member, placing);
     this.sweepTimer ??= setInterval(() => this.pump(), SWEEP_MS);
   }
 
@@ -92,7 +105,7 @@
   /** Requests of a model that wait, for the planner. */
   waitingFor(service: string, model: string): number {
     let count = 0;
-    for (const {service: s, generation} of this.members) {
+    for (const {service: s, generation} of this.members.keys()) {
       if (s === service && generation.model === model) count += 1;
     }
     return count;
@@ -115,8 +128,13 @@
   private pump(): void {
     const nowMs = this.ctx.clock.monotonicMs();
     const full = new Set<string>();
-    const line = [...this.members].sort((a, b) => compareWaiting(a, b, nowMs));
+    const line = [...this.members.keys()].sort((a, b) => compareWaiting(a, b, nowMs));
     for (const member of line) {
+      if (this.ctx.isClosing()) {
+        this.members.delete(member);
+        member.refuse('leaving', LEAVING_RETURN_MS, {});
+        continue;
+      }
       if (waitingState(member, nowMs) === 'hopeless') {
         this.members.delete(member);
         member.refuse('waited_too_long', returnMs(this.workAheadOf(member).waitMs), {
@@ -124,11 +142,25 @@
         });
         continue;
       }
-      const key = `${member.service}/${member.generation.model}/${member.generation.adapter}`;
+      const model = `${member.service}/${member.generation.model}`;
+      const key = `${model}/${member.generation.adapter}`;
+      if (full.has(model) && waitingState(member, nowMs) === 'late') {
+        // Those that can still be on time take all there is.
+        this.members.delete(member);
+        member.refuse('overloaded', returnMs(this.workAheadOf(member).waitMs), {
+          waitedMs: Math.round(nowMs - member.arrivedMs),
+        });
+        continue;
+      }
       if (full.has(key)) continue;
       const placing = this.place(member);
-      if (placing === 'sent') this.members.delete(member);
-      else full.add(key);
+      if (placing === 'sent') {
+        this.members.delete(member);
+        continue;
+      }
+      this.members.set(member, placing);
+      full.add(key);
+      if (placing === 'full') full.add(model);
     }
     if (this.members.size === 0) {
       clearInterval(this.sweepTimer);
@@ -147,36 +179,25 @@
     const healthy = holders.filter(replica => !replica.circuit.isOpen(nowMs));
     const pool = healthy.length > 0 ? healthy : holders;
     if (pool.length === 0) return 'no_holder';
-    const candidates = pool.map(replica =>
+    const able = pool.filter(replica => this.canServe(replica, generation));
+    if (able.length === 0) return 'adapter';
+    const candidates = able.map(replica =>
       replica.asEngineCandidate(generation.adapter, generation.model, slots, nowMs),
     );
     const choice = chooseEngine(candidates, this.needOf(generation));
     if (choice.kind !== 'chosen') return 'full';
     const candidate = candidates[choice.index];
-    const replica = pool[choice.index];
+    const replica = able[choice.index];
     if (generation.adapter !== '') {
-      const asked = ctx.wishAdapter(replica, generation.model, generation.adapter);
-      if (!candidate.hasAdapter)
-        return asked ? 'adapter' : this.placeOnAdapter(member, pool, candidates);
+      ctx.wishAdapter(replica, generation.model, generation.adapter);
+      if (!candidate.hasAdapter) return 'adapter';
     }
     this.dispatch(member, replica, candidate);
     return 'sent';
   }
 
-  /** Without its steward a replica gets no adapter, so only those that have it are of use. */
-  private placeOnAdapter(
-    member: LineMember,
-    pool: readonly Replica[],
-    candidates: readonly EngineCandidate[],
-  ): Placing {
-    const having = candidates.filter(candidate => candidate.hasAdapter);
-    const choice = chooseEngine(having, this.needOf(member.generation));
-    if (choice.kind !== 'chosen') return 'adapter';
-    const candidate = having[choice.index];
-    const replica = pool.find(found => found.id === candidate.id);
-    if (replica === undefined) return 'adapter';
-    this.dispatch(member, replica, candidate);
-    return 'sent';
+  private canServe(replica: Replica, {model, adapter}: Generation): boolean {
+    return replica.holds(model, adapter) || this.ctx.canLoadAdapter(replica);
   }
 
   private dispatch(member: LineMember, replica: Replica, candidate: EngineCandidate): void {
@@ -210,9 +231,11 @@
     const {service, generation} = member;
     let members = 0;
     let workMs = 0;
-    for (const other of this.members) {
+    for (const [other, placing] of this.members) {
       const same = other.service === service && other.generation.model === generation.model;
-      if (!same || other === member || compareWaiting(other, member, nowMs) > 0) continue;
+      // A wait for an adapter is short and holds up nobody else.
+      if (!same || placing === 'adapter' || other === member) continue;
+      if (compareWaiting(other, member, nowMs) > 0) continue;
       members += 1;
       workMs += this.ctx.estimator.estimateMs(generation.model, other.generation.tokensIn);
     }
--- a/apps/gateway/src/lib/planner_desk.ts
+++ b/apps/gateway/src/lib/planner_desk.ts
@@ -2,9 +2,15 @@
 import {Disposer, type Clock, type Logger} from '@jasminepost/core';
 import type {TermLease} from '@jasminepost/key_value';
 import type {ModelDemandMessage, PlacementMessage} from '@jasminepost/mesh';
-import {chargedMb, planEngines, type EngineMove, type PlanReplica} from '@jasminepost/policy';
+import {
+  chargedMb,
+  planEngines,
+  type EngineMove,
+  type PlanModel,
+  type PlanReplica,
+} from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
-import {DemandBook} from './demand_book.ts';
+import {DemandBook, type ModelReading} from './demand_book.ts';
 import type {Replica} from './replica.ts';
 
 const PLAN_INTERVAL_MS = 150;
@@ -14,6 +20,12 @@
 const PENDING_MS = 1500;
 /** A model that has just been loaded stays, whatever the demand. */
 const FRESH_MS = 2500;
+/** Traffic after which a model that was not asked for counts as sleeping. */
+const SETTLED_MS = 7000;
+/** Load that a copy which stands at the start is taken to have. */
+const PRIOR_COPY_LOAD = 0.15;
+/** A model that stays out of reach is told of this often. */
+const TELL_INTERVAL_MS = 1500;
 /** Loads above the weight store's rate that a window may hold. */
 const WINDOW_EXTRA = 3;
 /** Share of the limit that is used; loads begin a little after they are ordered. */
@@ -47,6 +59,8 @@
   private readonly pending = new Map<string, Pending>();
   /** When each copy was placed, as `replica/model`. */
   private readonly placedMs = new Map<string, number>();
+  /** When it was last told that a model is not reachable. */
+  private readonly toldMs = new Map<string, number>();
   /** Times of loads from the weight store within the window. */
   private storeLoads: number[] = [];
 
@@ -82,14 +96,16 @@
   private planService(service: string, spec: EngineSpec, nowMs: number): void {
     const replicas = this.ctx.replicasOf(service);
     const views = replicas.map(replica => this.viewOf(replica, spec, nowMs));
+    const models = [...spec.models.values()].map(model => ({
+      ...model,
+      ...this.demandFor(service, model.name, views, nowMs),
+    }));
     const moves = planEngines({
       replicas: views,
-      models: [...spec.models.values()].map(model => ({
-        ...model,
-        ...this.book.read(`${service}/${model.name}`, nowMs),
-      })),
+      models,
       storeLoads: this.storeLoadsLeft(spec, nowMs),
       nowMs,
+      settled: this.book.trafficMs(nowMs) > SETTLED_MS,
       isFresh: (replica, model) =>
         nowMs - (this.placedMs.get(`${replica}/${model}`) ?? Number.NEGATIVE_INFINITY) < FRESH_MS,
     });
@@ -97,6 +113,43 @@
       const replica = replicas.find(found => found.id === move.replica);
       if (replica !== undefined) this.send(service, replica, move, nowMs);
     }
+    this.logUnreachable(models, views, nowMs);
+  }
+
+  /** Tells of models that callers wait for and that no replica holds or is about to hold. */
+  private logUnreachable(
+    models: readonly PlanModel[],
+    views: readonly PlanReplica[],
+    nowMs: number,
+  ): void {
+    for (const {name, waiting} of models) {
+      const held = views.some(view => view.held.has(name) || view.arriving === name);
+      const pending = [...this.pending.values()].some(found => found.load === name);
+      if (waiting === 0 || held || pending) continue;
+      if (nowMs - (this.toldMs.get(name) ?? Number.NEGATIVE_INFINITY) < TELL_INTERVAL_MS) continue;
+      this.toldMs.set(name, nowMs);
+      const near = views.filter(view => view.onDisk.has(name) || view.inMemory.has(name));
+      this.ctx.log.warn('model not reachable', {
+        model: name,
+        waiting,
+        near: near.map(view => ({replica: view.id, idle: view.idle})),
+        storeLoads: this.storeLoads.length,
+        idle: views.filter(view => view.idle).length,
+      });
+    }
+  }
+
+  /** Until there is traffic, the copies that stand tell of the demand that was expected. */
+  private demandFor(
+    service: string,
+    model: string,
+    views: readonly PlanReplica[],
+    nowMs: number,
+  ): ModelReading {
+    if (this.book.trafficMs(nowMs) > 0) return this.book.read(`${service}/${model}`, nowMs);
+    const copies = views.filter(view => view.held.has(model)).length;
+    const urgentMs = copies > 1 ? nowMs : Number.NEGATIVE_INFINITY;
+    return {load: copies * PRIOR_COPY_LOAD, askedMs: urgentMs, urgentMs, waiting: 0};
   }
 
   private send(service: string, replica: Replica, move: EngineMove, nowMs: number): void {
@@ -118,7 +171,6 @@
       ...move,
       service,
       term: this.term,
-      load: move.load,
       demand: Number(demand.load.toFixed(3)),
       waiting: demand.waiting,
     });
--- a/apps/gateway/src/lib/steward_links.ts
+++ b/apps/gateway/src/lib/steward_links.ts
@@ -62,15 +62,20 @@
     return this.byHost.get(replica.entry.address.host)?.client.link !== undefined;
   }
 
-  /** Asks for an adapter or states that it is in use; false without a link. */
-  wishAdapter(replica: Replica, model: string, adapter: string): boolean {
+  /** True when an adapter can be loaded there now; a replica takes one order at a time. */
+  canLoadAdapter(replica: Replica): boolean {
+    return this.isLinked(replica) && replica.state?.up === true && replica.state.moving === '';
+  }
+
+  /** Asks for an adapter or states that it is in use. */
+  wishAdapter(replica: Replica, model: string, adapter: string): void {
     const link = this.byHost.get(replica.entry.address.host);
-    if (link?.client.link === undefined || replica.state?.up !== true) return false;
+    if (link === undefined) return;
     const key = `${model}/${adapter}`;
     const nowMs = this.clock.monotonicMs();
-    if (nowMs - (link.wishes.get(key) ?? Number.NEGATIVE_INFINITY) < WISH_INTERVAL_MS) return true;
+    if (nowMs - (link.wishes.get(key) ?? Number.NEGATIVE_INFINITY) < WISH_INTERVAL_MS) return;
     link.wishes.set(key, nowMs);
-    return link.client.link.send({type: 'adapter_wish', model, adapter});
+    link.client.link?.send({type: 'adapter_wish', model, adapter});
   }
 
   place(replica: Replica, message: PlacementMessage): boolean {
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -55,6 +55,7 @@
   let config: FleetConfig | undefined;
   let replicasRead = false;
   let draining = false;
+  let closing = false;
   const engineOf = (service: string) => config?.services.get(service)?.engine;
 
   const links = new StewardLinks(self, guard, own.meshPort, clock, log, metrics.linkFaults, () =>
@@ -76,6 +77,8 @@
     estimator,
     demand,
     engineOf,
+    isClosing: () => closing,
+    canLoadAdapter: replica => links.canLoadAdapter(replica),
     wishAdapter: (replica, model, adapter) => links.wishAdapter(replica, model, adapter),
   });
   const budgets = new Map<string, WindowBudget>();
@@ -210,6 +213,7 @@
     const untilMs = startedMs + own.bounds.graceMs * STOP_SHARE;
     log.info('stopping', {requests: server.busy});
     while (clock.monotonicMs() < startedMs + NOTICE_MS) await sleep(STOP_POLL_MS);
+    closing = true;
     server.stopAccepting();
     while (server.busy > 0 && clock.monotonicMs() < untilMs) {
       await sleep(STOP_POLL_MS);
--- a/apps/steward/src/lib/engine_watch.ts
+++ b/apps/steward/src/lib/engine_watch.ts
@@ -102,7 +102,12 @@
     const {ctx} = this;
     const before = this.report;
     if (this.failures >= FAILURES_TO_DOWN || before === undefined) {
-      ctx.log.info('replica answers', {bornMs: report.bornMs, sequence: report.sequence});
+      ctx.log.info('replica answers', {
+        bornMs: report.bornMs,
+        sequence: report.sequence,
+        held: report.models.map(model => model.name),
+        ...report.copies,
+      });
     }
     this.failures = 0;
     const restarted =
--- a/apps/steward/src/lib/order_desk.ts
+++ b/apps/steward/src/lib/order_desk.ts
@@ -24,6 +24,8 @@
 interface Move {
   readonly operation: 'load' | 'unload';
   readonly model: string;
+  /** Sequence that the replica reports once it has accepted the order. */
+  readonly sequence: number;
 }
 
 /** A placement that has not been carried out by then was planned for another state. */
@@ -77,7 +79,8 @@
 
   /** Takes in a report: a replica that is no longer busy has finished its move. */
   onReport(report: EngineReport): void {
-    if (this.move === undefined || report.busy) return;
+    // A report from before the order says nothing of it.
+    if (this.move === undefined || report.sequence < this.move.sequence || report.busy) return;
     const held = report.models.some(model => model.name === this.move?.model);
     const done = this.move.operation === 'load' ? held : !held;
     if (done) this.ctx.log.info('move done', {...this.move, sequence: report.sequence});
@@ -103,11 +106,11 @@
     if (spec === undefined || !this.ctx.fence.ready) return this.pause(BUSY_POLL_MS);
     const report = await this.ctx.refresh();
     if (report === undefined) return this.pause(BUSY_POLL_MS);
-    // What an unknown move will occupy can't be charged.
-    if (report.busy && this.move === undefined) return this.pause(BUSY_POLL_MS);
+    // The replica refuses every order while a model is on its way.
+    if (report.busy) return this.pause(BUSY_POLL_MS);
     if (await this.serveWish(report, spec)) return true;
     if (this.placement === undefined) return this.wishes.size > 0 && this.pause(BUSY_POLL_MS);
-    if (report.busy || this.move !== undefined) return this.pause(BUSY_POLL_MS);
+    if (this.move !== undefined) return this.pause(BUSY_POLL_MS);
     return this.servePlacement(this.placement.message, report, spec);
   }
 
@@ -171,7 +174,7 @@
     operation: 'load' | 'unload',
     model: string,
   ): Promise<boolean> {
-    this.move = {operation, model};
+    this.move = {operation, model, sequence: report.sequence + 1};
     this.ctx.onMoving();
     const outcome = await this.give(report, operation, model, '');
     if (outcome.kind === 'accepted') return true;
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -223,7 +223,9 @@
 const modelDemand = z.object({
   type: z.literal('model_demand'),
   intervalMs: count,
-  models: z.array(z.object({name, requests: count, prefillMs: count, waiting: count})).max(4096),
+  models: z
+    .array(z.object({name, requests: count, urgent: count, prefillMs: count, waiting: count}))
+    .max(4096),
 });
 
 const anyMessage = z.discriminatedUnion('type', [
--- a/packages/policy/src/lib/engine_plan.ts
+++ b/packages/policy/src/lib/engine_plan.ts
@@ -28,6 +28,8 @@
   readonly waiting: number;
   /** Monotonic time of the last request; minus infinity when there was none. */
   readonly askedMs: number;
+  /** The same, of requests that can't wait until the model has been loaded. */
+  readonly urgentMs: number;
 }
 
 /** @public */
@@ -37,6 +39,8 @@
   /** Loads from the weight store that may begin now. */
   readonly storeLoads: number;
   readonly nowMs: number;
+  /** True once there has been traffic for long enough to tell which models are asked for. */
+  readonly settled: boolean;
   /** True for a copy that was loaded so recently that it stays. */
   isFresh(replica: string, model: string): boolean;
 }
@@ -51,23 +55,41 @@
 }
 
 /** Load that one copy should carry at most; the rest of its replica serves other models. */
-const COPY_LOAD = 0.22;
-/** A model asked for within this time is in demand. */
-const DEMAND_MS = 12_000;
+const COPY_LOAD = 0.2;
+/** Copies of a model with urgent demand, however small: it may grow within a load's time. */
+const URGENT_COPIES = 3;
+/** A model asked for urgently within this time may be so again at any moment. */
+const URGENT_MS = 4000;
 /** Worth of making a model reachable that callers wait for, against one copy's load. */
 const REACH_WORTH = 4;
-/** Worth of keeping the last copy of a model without recent demand. */
-const LAST_COPY_WORTH = 0.25;
-/** Worth of a second's sooner arrival. */
-const SECOND_WORTH = 0.12;
+const PATIENT_REACH_WORTH = 1.5;
+/** Worth of a further copy of a model with urgent demand, besides its load. */
+const SPREAD_WORTH = 0.8;
+/** Worth of keeping the last copy of a model that callers can wait for. */
+const PATIENT_COPY_WORTH = 0.3;
+/** The same when the only other copy of its weights is out of reach for longer than the target. */
+const OUT_OF_REACH_WORTH = 1.2;
+/** Worth of keeping the last copy of a model that may be asked for urgently at any moment. */
+const SLEEPING_COPY_WORTH = 0.8;
+/** Replicas that should have the weights of such a model, in use or as a copy. */
+const NEAR_COPIES = 4;
+/** Worth of one more of them, and the loads from the weight store that are left for demand. */
+const NEAR_WORTH = 0.9;
+const RESERVED_LOADS = 5;
+/** Cost of each second until a model that is asked for urgently has arrived. */
+const SECOND_COST = 0.03;
+/** Cost of a load that takes longer than patient callers' targets. */
+const LATE_LOAD_COST = 0.8;
 /** Least gain that is worth an order. */
-const MIN_GAIN = 0.06;
+const MIN_GAIN = 0.05;
 /** Worth of a copy in a zone that has none. */
 const ZONE_WORTH = 0.05;
 
 interface Need {
   readonly model: PlanModel;
   readonly worth: number;
+  /** True when the load only serves to leave copies of the weights. */
+  readonly prefetch: boolean;
 }
 
 /**
@@ -85,12 +107,20 @@
 }
 
 /** Copies that a model should have. @public */
-export function wantedCopies(model: PlanModel, replicas: number): number {
-  const byLoad = Math.ceil(model.load / COPY_LOAD);
-  return Math.max(1, Math.min(replicas, byLoad));
+export function wantedCopies(model: PlanModel, replicas: number, nowMs: number): number {
+  const least = nowMs - model.urgentMs < URGENT_MS ? URGENT_COPIES : 1;
+  const byLoad = Math.ceil(model.load / COPY_LOAD) + (least > 1 ? 1 : 0);
+  return Math.min(replicas, Math.max(least, byLoad));
+}
+
+/** True when callers have so far always had the time for the model to be loaded. */
+function isPatient(model: PlanModel): boolean {
+  return model.askedMs !== Number.NEGATIVE_INFINITY && model.urgentMs === Number.NEGATIVE_INFINITY;
 }
 
 class EngineRound {
+  /** Replicas that hold each model, or have a copy of its weights. */
+  private readonly near = new Map<string, number>();
   private readonly copies = new Map<string, number>();
   private readonly planned = new Set<string>();
   private readonly models: ReadonlyMap<string, PlanModel>;
@@ -100,7 +130,10 @@
   constructor(private readonly input: PlanInput) {
     this.storeLoads = input.storeLoads;
     this.models = new Map(input.models.map(model => [model.name, model]));
-    for (const {held, arriving} of input.replicas) {
+    for (const {held, arriving, inMemory, onDisk} of input.replicas) {
+      for (const name of new Set([...held, ...inMemory, ...onDisk, arriving])) {
+        this.near.set(name, (this.near.get(name) ?? 0) + 1);
+      }
       for (const name of held) this.addCopy(name);
       if (arriving !== '' && !held.has(arriving)) this.addCopy(arriving);
     }
@@ -114,6 +147,7 @@
       this.moves.push(move);
       this.planned.add(move.replica);
       this.addCopy(move.load);
+      if (move.source === 'store') this.near.set(move.load, (this.near.get(move.load) ?? 0) + 1);
       if (move.unload !== '') this.copies.set(move.unload, this.copiesOf(move.unload) - 1);
       if (move.source === 'store') this.storeLoads -= 1;
     }
@@ -122,7 +156,11 @@
 
   private bestMove(): EngineMove | undefined {
     const needs = this.input.models
-      .map(model => ({model, worth: this.worthOf(model)}))
+      .map(model => ({
+        model,
+        worth: this.worthOf(model),
+        prefetch: this.copiesOf(model.name) >= this.wanted(model),
+      }))
       .filter(need => need.worth > MIN_GAIN)
       .sort((a, b) => b.worth - a.worth);
     for (const need of needs) {
@@ -135,24 +173,48 @@
   /** What one more copy is worth. */
   private worthOf(model: PlanModel): number {
     const copies = this.copiesOf(model.name);
-    const inDemand = this.input.nowMs - model.askedMs < DEMAND_MS;
+    const urgent = this.isUrgent(model);
     if (copies === 0) {
-      if (model.waiting > 0) return REACH_WORTH + model.waiting + model.load;
-      return inDemand ? REACH_WORTH / 2 + model.load : LAST_COPY_WORTH;
+      if (urgent) return REACH_WORTH + model.waiting + model.load;
+      if (model.waiting > 0) return PATIENT_REACH_WORTH + model.waiting;
+      return isPatient(model) ? PATIENT_COPY_WORTH : SLEEPING_COPY_WORTH;
     }
-    if (copies >= wantedCopies(model, this.input.replicas.length)) return 0;
-    return model.load / copies;
+    if (copies < this.wanted(model)) return (model.load + (urgent ? SPREAD_WORTH : 0)) / copies;
+    return this.nearWorth(model);
   }
 
-  /** What the loss of one copy costs. */
-  private lossOf(name: string): number {
+  /** Worth of weights near at hand for a model whose demand may rise within seconds. */
+  private nearWorth(model: PlanModel): number {
+    if (!this.input.settled || isPatient(model) || this.storeLoads <= RESERVED_LOADS) return 0;
+    const near = this.near.get(model.name) ?? 0;
+    return near < NEAR_COPIES ? NEAR_WORTH / Math.max(1, near) : 0;
+  }
+
+  /**
+   * What the loss of one copy costs. Until a load from the weight store ends, its replica can't
+   * give back what made way for it.
+   */
+  private lossOf(name: string, source: EngineMove['source']): number {
     const model = this.models.get(name);
     if (model === undefined) return 0;
     const copies = this.copiesOf(name);
-    const inDemand = this.input.nowMs - model.askedMs < DEMAND_MS;
-    if (copies <= 1) return inDemand ? REACH_WORTH / 2 + model.load : LAST_COPY_WORTH;
-    if (copies > wantedCopies(model, this.input.replicas.length)) return 0;
-    return model.load / (copies - 1);
+    const urgent = this.isUrgent(model);
+    if (copies > 1) {
+      if (copies > this.wanted(model)) return urgent ? 0.02 : 0;
+      return (model.load + (urgent ? SPREAD_WORTH : 0)) / (copies - 1);
+    }
+    if (urgent) return REACH_WORTH + model.load;
+    if (!isPatient(model)) return SLEEPING_COPY_WORTH;
+    const elsewhere = (this.near.get(name) ?? 0) > 1;
+    return elsewhere || source !== 'store' ? PATIENT_COPY_WORTH : OUT_OF_REACH_WORTH;
+  }
+
+  private wanted(model: PlanModel): number {
+    return wantedCopies(model, this.input.replicas.length, this.input.nowMs);
+  }
+
+  private isUrgent(model: PlanModel): boolean {
+    return this.input.nowMs - model.urgentMs < URGENT_MS;
   }
 
   private moveFor(need: Need): EngineMove | undefined {
@@ -163,13 +225,13 @@
         continue;
       }
       const source = sourceOf(replica, need.model.name);
-      if (source === 'store' && this.storeLoads < 1) continue;
-      const victim = this.victimOn(replica, need.model.weightsMb);
+      if (!this.allows(need, source)) continue;
+      const victim = this.victimOn(replica, need.model.weightsMb, source);
       if (victim === undefined) continue;
       const gain =
         need.worth -
         victim.loss -
-        SECOND_WORTH * loadSeconds(need.model, source) -
+        loadCost(need, source) -
         this.crowding(replica) +
         (this.zoneHas(replica.zone, need.model.name) ? 0 : ZONE_WORTH);
       if (gain <= bestGain) continue;
@@ -179,17 +241,25 @@
     return best;
   }
 
+  private allows(need: Need, source: EngineMove['source']): boolean {
+    if (source !== 'store') return !need.prefetch;
+    // Patient callers rather wait for the replica that has the weights at hand.
+    const near = this.near.get(need.model.name) ?? 0;
+    return this.storeLoads >= 1 && !(isPatient(need.model) && near > 0);
+  }
+
   /** What must go to make room; undefined when nothing may, or one model is not enough. */
   private victimOn(
     replica: PlanReplica,
     neededMb: number,
+    source: EngineMove['source'],
   ): {readonly name: string; readonly loss: number} | undefined {
     if (replica.freeMb >= neededMb) return {name: '', loss: 0};
     let victim: {readonly name: string; readonly loss: number} | undefined;
     for (const name of replica.held) {
       const sizeMb = this.models.get(name)?.weightsMb ?? 0;
       if (replica.freeMb + sizeMb < neededMb || this.input.isFresh(replica.id, name)) continue;
-      const loss = this.lossOf(name);
+      const loss = this.lossOf(name, source);
       if (victim === undefined || loss < victim.loss) victim = {name, loss};
     }
     return victim;
@@ -224,6 +294,12 @@
   return replica.onDisk.has(model) ? 'disk' : 'store';
 }
 
+function loadCost(need: Need, source: EngineMove['source']): number {
+  if (need.prefetch) return 0;
+  if (isPatient(need.model)) return source === 'store' ? LATE_LOAD_COST : 0;
+  return SECOND_COST * loadSeconds(need.model, source);
+}
+
 function loadSeconds(model: PlanModel, source: EngineMove['source']): number {
   switch (source) {
     case 'memory':
