Test the users' platform with stand-ins; split the relay from the request

29 scenarios against stand-ins of the store and of replicas. Two failed first: a malformed entry left its replica in use, and a given-up socket hid a reset from undici, so that a cut answer without length looked whole. Both mended; the wire's names are now kept out of the apps by lint.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,6 +1,7 @@
 /** Arrows between packages point one way; see docs/ARCHITECTURE.md. */
 const ALLOWED = {
   core: [],
+  serving: ['core'],
   policy: ['core'],
   key_value: ['core'],
   mesh: ['core'],
@@ -24,6 +25,22 @@
 module.exports = {
   forbidden: [
     ...packageRules,
+    {
+      name: 'platform-adapter',
+      severity: 'error',
+      from: {path: '^platform/'},
+      to: {
+        path: '^(packages|apps|stand_ins|features|bench|scripts)/',
+        pathNot: '^packages/(core|key_value|serving)/',
+      },
+    },
+    {
+      // The product's own programs don't know the users' platform.
+      name: 'packages-without-adapter',
+      severity: 'error',
+      from: {path: '^(packages|apps/(entry|sidecar|cli))/'},
+      to: {path: '^platform/'},
+    },
     {
       name: 'no-circular',
       severity: 'error',
--- /dev/null
+++ b/apps/gateway/src/lib/answer_relay.ts
@@ -0,0 +1,94 @@
+/** Passes a replica's answer on to the caller, so that a cut answer looks cut. */
+import type {ServerResponse} from 'node:http';
+import {resetNow} from '@jasminepost/core';
+import type {ReplicaHead} from '@jasminepost/platform';
+import {SseJoiner} from './sse_joiner.ts';
+
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
+/** @internal */
+export class AnswerRelay {
+  /** True once the head has gone to the caller. */
+  started = false;
+  private joiner: SseJoiner | undefined;
+
+  /**
+   * @param resumable - True when the answer may go on from another run.
+   */
+  constructor(
+    private readonly res: ServerResponse,
+    private readonly method: string,
+    private readonly resumable: boolean,
+  ) {}
+
+  /** Last event that the caller has of a resumable stream; empty before the first. */
+  get lastEventId(): string {
+    return this.joiner?.lastEventId ?? '';
+  }
+
+  /** True when the run ended inside an event. */
+  get endsInEvent(): boolean {
+    return this.joiner?.hasPartial === true;
+  }
+
+  /** A resumed answer goes on under the head that the caller already has. */
+  head(head: ReplicaHead, close: boolean): void {
+    if (this.started) return;
+    this.started = true;
+    if (this.resumable && head.status === 200) this.joiner = new SseJoiner();
+    const bodiless =
+      this.method === 'HEAD' || head.status === NO_CONTENT || head.status === NOT_MODIFIED;
+    const unframed = head.unframed && !bodiless;
+    // Whether the replica's body is whole is not known, so the framing must not vouch for it.
+    if (unframed) this.res.useChunkedEncodingByDefault = false;
+    const headers = [...head.headers];
+    if (close || unframed) headers.push('Connection', 'close');
+    this.res.writeHead(head.status, headers);
+    // The first event may be far off; the head says that the replica has taken the request.
+    this.res.flushHeaders();
+  }
+
+  /** @returns False when the caller is behind; `onFlowing` is called once it has caught up. */
+  data(chunk: Buffer, onFlowing: () => void): boolean {
+    const data = this.joiner === undefined ? chunk : this.joiner.push(chunk);
+    if (data.length === 0) return true;
+    const flowing = this.res.write(data);
+    if (!flowing) this.res.once('drain', onFlowing);
+    return flowing;
+  }
+
+  /** Forgets the event that a run did not finish. */
+  dropPartial(): void {
+    this.joiner?.dropPartial();
+  }
+
+  end(): void {
+    this.res.end();
+  }
+
+  /** Ends an answer that has begun and can't be finished. */
+  cut(): void {
+    // Without a length an orderly close would look like the end of the answer.
+    if (this.res.socket !== null) resetNow(this.res.socket);
+  }
+}
+
+/** Answers a request without a replica. @internal */
+export function sendOwnAnswer(
+  res: ServerResponse,
+  status: number,
+  reason: string,
+  close: boolean,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  if (res.destroyed) return;
+  const text = JSON.stringify({error: reason});
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(text)),
+    ...(close ? {connection: 'close'} : {}),
+    ...headers,
+  });
+  res.end(text);
+}
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -7,26 +7,21 @@
   type Exchange,
   type ReplicaHead,
 } from '@jasminepost/platform';
-import {chooseReplica, decideRetry} from '@jasminepost/policy';
-import {backendFor, type Generation, type Route} from '@jasminepost/serving';
+import {decideRetry, requestTimes} from '@jasminepost/policy';
+import {backendFor, NO_GENERATION, type Generation, type Route} from '@jasminepost/serving';
+import {AnswerRelay, sendOwnAnswer} from './answer_relay.ts';
 import type {GatewayContext} from './gateway_context.ts';
 import type {Ending} from './gateway_metrics.ts';
 import type {LineMember} from './engine_line.ts';
 import type {Replica} from './replica.ts';
-import {SseJoiner} from './sse_joiner.ts';
+import {chooseServiceReplica} from './service_choice.ts';
 
 /** Sends of one request in which no replica ran it. */
 const MAX_SENDS = 3;
-/** A caller leaves a stream that shows no event for this long at least. */
-const MIN_PATIENCE_MS = 2000;
-const PATIENCE_TARGETS = 4;
-const PATIENCE_GAPS = 8;
 /** A target that leaves time to load a model from a replica's disk. */
 const PATIENT_TARGET_MS = 3500;
 /** Least time that a request needs at a replica to be worth sending. */
 const MIN_SERVICE_MS = 40;
-/** Two trips across the fleet and the caller's network. */
-const TRAVEL_MS = 25;
 const DEFAULT_RETRY_AFTER_MS = 300;
 
 /** What ended one attempt. */
@@ -54,13 +49,10 @@
   private sentMs = 0;
   private backlogAtSend = 0;
   private firstEventMs = 0;
-  private started = false;
   private mayRun = false;
   private finished = false;
   private timer: NodeJS.Timeout | undefined;
-  private joiner: SseJoiner | undefined;
-  /** True when the answer to the caller ends with its connection. */
-  private unframed = false;
+  private readonly relay: AnswerRelay;
   private readonly canRepeat: boolean;
 
   constructor(
@@ -77,17 +69,17 @@
     this.priority = route.priority;
     this.patient = route.targetLatencyMs >= PATIENT_TARGET_MS;
     this.canRepeat = route.kind === 'idempotent' || route.resumable;
-    const waitMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-    this.deadlineMs = startedMs + waitMs;
-    const prefillMs = this.prefillMs();
-    const patienceMs = Math.max(
-      MIN_PATIENCE_MS,
-      PATIENCE_TARGETS * route.targetLatencyMs,
-      PATIENCE_GAPS * route.targetGapMs,
-    );
-    this.sendByMs = startedMs + Math.min(route.targetLatencyMs, waitMs) - prefillMs - TRAVEL_MS;
-    this.uselessMs =
-      Math.min(this.deadlineMs, startedMs + patienceMs) - Math.max(prefillMs, MIN_SERVICE_MS);
+    this.relay = new AnswerRelay(res, req.method ?? '', route.resumable);
+    const times = requestTimes({
+      arrivedMs: startedMs,
+      limitMs: Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs),
+      targetLatencyMs: route.targetLatencyMs,
+      targetGapMs: route.targetGapMs,
+      firstEventMs: this.prefillMs(),
+    });
+    this.deadlineMs = times.deadlineMs;
+    this.sendByMs = times.sendByMs;
+    this.uselessMs = times.uselessMs;
   }
 
   get generation(): Generation {
@@ -137,7 +129,7 @@
           deadlineMs: this.deadlineMs - nowMs,
           replicaId: replica.id,
           urgency: this.head.generation === undefined ? undefined : this.urgency(),
-          lastEventId: this.joiner?.lastEventId ?? '',
+          lastEventId: this.relay.lastEventId,
         },
       },
       {
@@ -177,29 +169,13 @@
       this.ctx.line.submit(this);
       return;
     }
-    const {clock, table, zone} = this.ctx;
-    const replicas = table.ofService(this.service);
-    const candidates = replicas.map(replica => replica.asRouteCandidate());
-    const choice = chooseReplica(
-      candidates,
-      {
-        class: 'paid',
-        zone,
-        prefixHash: 0,
-        prefixSavingMs: 0,
-        crossZoneMs: this.ctx.crossZoneMs,
-        entries: this.ctx.gateways(),
-        nowMs: clock.monotonicMs(),
-        excluded: this.excluded,
-      },
-      Math.random,
-    );
+    const choice = chooseServiceReplica(this.ctx, this.service, this.excluded);
     if (choice.kind === 'none') {
-      this.refuse('no_replica', DEFAULT_RETRY_AFTER_MS, {replicas: replicas.length});
+      this.refuse('no_replica', DEFAULT_RETRY_AFTER_MS, {listed: choice.listed});
       return;
     }
-    const {reportedPaid, ownInFlight, serviceMs} = candidates[choice.index];
-    this.send(replicas[choice.index], {reported: reportedPaid, ownInFlight, serviceMs});
+    const {reportedPaid: reported, ownInFlight, serviceMs} = choice.candidate;
+    this.send(choice.replica, {reported, ownInFlight, serviceMs: Math.round(serviceMs)});
   }
 
   private onHead(head: ReplicaHead): void {
@@ -229,7 +205,7 @@
       this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail}, true);
       return;
     }
-    this.relayHead(head);
+    this.relay.head(head, this.ctx.isDraining());
   }
 
   /** Why an answer must not reach the caller; undefined when it may. */
@@ -247,30 +223,9 @@
     return this.route.kind === 'idempotent' && this.runs + 1 < this.route.maxAttempts;
   }
 
-  private relayHead(head: ReplicaHead): void {
-    if (this.started) return;
-    this.started = true;
-    if (this.route.resumable && head.status === 200) this.joiner ??= new SseJoiner();
-    const headers = [...head.headers];
-    const bodiless = this.req.method === 'HEAD' || head.status === 204 || head.status === 304;
-    if (head.unframed && !bodiless) {
-      // Whether the replica's body is whole is not known, so the framing must not vouch for it.
-      this.res.useChunkedEncodingByDefault = false;
-      this.unframed = true;
-    }
-    if (this.ctx.isDraining() || this.unframed) headers.push('Connection', 'close');
-    this.res.writeHead(head.status, headers);
-    // The first event may be far off; the head says that the replica has taken the request.
-    this.res.flushHeaders();
-  }
-
   private onData(chunk: Buffer): boolean {
-    const data = this.joiner === undefined ? chunk : this.joiner.push(chunk);
     if (this.firstEventMs === 0) this.onFirstEvent();
-    if (data.length === 0) return true;
-    const flowing = this.res.write(data);
-    if (!flowing) this.res.once('drain', () => this.exchange?.resume());
-    return flowing;
+    return this.relay.data(chunk, () => this.exchange?.resume());
   }
 
   private onFirstEvent(): void {
@@ -296,11 +251,11 @@
     replica.circuit.onSuccess();
     replica.learnService(nowMs - this.sentMs);
     this.endAttempt();
-    if (this.joiner?.hasPartial === true) {
+    if (this.relay.endsInEvent) {
       this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail: 'event cut'}, false);
       return;
     }
-    this.res.end();
+    this.relay.end();
     this.finish('answered', {replica: replica.id, status: this.res.statusCode});
   }
 
@@ -322,7 +277,7 @@
     const decision = decideRetry({
       verdict,
       idempotent: this.canRepeat,
-      answerStarted: this.started,
+      answerStarted: this.relay.started,
       resumable: this.route.resumable,
       remainingMs: this.deadlineMs - nowMs - MIN_SERVICE_MS,
       attempts: isNotRun ? this.sends : this.runs,
@@ -340,7 +295,7 @@
       tookMs: Math.round(nowMs - this.sentMs),
     });
     if (decision.kind === 'retry' || decision.kind === 'resume') {
-      this.joiner?.dropPartial();
+      this.relay.dropPartial();
       metrics.retries.increment(verdict.reason);
       this.next();
       return;
@@ -385,11 +340,9 @@
   /** Ends a request that may have run. */
   private fail(status: 502 | 504, reason: string, inputs: Readonly<Record<string, unknown>>): void {
     if (this.finished) return;
-    if (this.started) {
-      // The answer has begun: only a cut connection shows that it is not whole.
+    if (this.relay.started) {
       this.finish('cut', {reason, ...inputs});
-      // Without a length an orderly close would look like the end of the answer.
-      this.res.socket?.resetAndDestroy();
+      this.relay.cut();
       return;
     }
     this.answerOwn(status, reason, {});
@@ -439,31 +392,3 @@
     return Math.min(9, this.priority * 2 + (this.patient ? 2 : 0));
   }
 }
-
-const NO_GENERATION: Generation = {
-  model: '',
-  adapter: '',
-  tokensIn: 0,
-  maxTokensOut: 0,
-  lengthHint: 0,
-  parts: [],
-};
-
-/** Answers a request without a replica. @internal */
-export function sendOwnAnswer(
-  res: ServerResponse,
-  status: number,
-  reason: string,
-  close: boolean,
-  headers: Record<string, string> = {},
-): void {
-  if (res.destroyed) return;
-  const text = JSON.stringify({error: reason});
-  res.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': String(Buffer.byteLength(text)),
-    ...(close ? {connection: 'close'} : {}),
-    ...headers,
-  });
-  res.end(text);
-}
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -3,7 +3,8 @@
 import {messageOf, type HostPort} from '@jasminepost/core';
 import {readCallerHead} from '@jasminepost/platform';
 import type {CallerLimits, RouteTable} from '@jasminepost/serving';
-import {CallerRequest, sendOwnAnswer} from './caller_request.ts';
+import {sendOwnAnswer} from './answer_relay.ts';
+import {CallerRequest} from './caller_request.ts';
 import type {GatewayContext} from './gateway_context.ts';
 
 /** Largest head that is parsed at all; the configuration's own limit lies below. */
@@ -92,7 +93,7 @@
     if (route === undefined) {
       ctx.metrics.endings.increment('no_route');
       ctx.log.info('request without route', {
-        requestId: req.headers['request-id'] ?? '',
+        requestId: readCallerHead(req.headers).requestId,
         host,
         path,
         config: ctx.configVersion(),
@@ -115,7 +116,11 @@
   private reject(req: IncomingMessage, res: ServerResponse, status: number, reason: string): void {
     const ctx = this.ctx();
     ctx.metrics.endings.increment('rejected');
-    ctx.log.info('request rejected', {requestId: req.headers['request-id'] ?? '', status, reason});
+    ctx.log.info('request rejected', {
+      requestId: readCallerHead(req.headers).requestId,
+      status,
+      reason,
+    });
     sendOwnAnswer(res, status, reason, ctx.isDraining() || status === 413);
     req.resume();
   }
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -111,10 +111,12 @@
     this.log.info('replica state', {replica: after.id, leaving: after.leaving});
   }
 
+  /** An entry that can't be read names no replica to use, even if it did before. */
   private skip(key: string, error: string): void {
     if (this.malformed.has(key)) return;
-    this.malformed.add(key);
     this.log.warn('replica entry skipped', {key, error});
+    this.remove(key, false);
+    this.malformed.add(key);
   }
 
   private remove(key: string, afterOutage: boolean): void {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,17 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['node_modules', 'dist', '**/*.cjs', '**/*.mjs', 'eslint.config.js', 'cucumber.js']},
+  {
+    ignores: [
+      'node_modules',
+      'dist',
+      'target',
+      '**/*.cjs',
+      '**/*.mjs',
+      'eslint.config.js',
+      'cucumber.js',
+    ],
+  },
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {parserOptions: {projectService: true, tsconfigRootDir: import.meta.dirname}},
@@ -26,4 +36,18 @@
       'max-lines': ['error', 400],
     },
   },
+  {
+    files: ['apps/gateway/**', 'apps/steward/**', 'packages/serving/**', 'packages/policy/**'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {selector: 'ExportDefaultDeclaration', message: 'Use named exports.'},
+        {
+          selector:
+            'Literal[value=/^\\u002f-\\u002f|^(request-id|deadline-ms|expect-instance|not-executed|response-signature|server-load|retry-after|token-usage|prompt-prefix)$/i]',
+          message: 'Names on the wire belong into platform/.',
+        },
+      ],
+    },
+  },
 );
--- /dev/null
+++ b/features/support/users_fleet.ts
@@ -0,0 +1,270 @@
+/** Gateways and stewards as processes, between stand-ins of the users' platform and replicas. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {request, type Agent} from 'node:http';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {MetadataStore} from '../../stand_ins/users_platform/metadata_store.ts';
+import {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {FleetProcess, freePort, until} from './fleet_process.ts';
+
+export const HOST = 'tables.example';
+export const MODEL = 'draft';
+export const ADAPTERS = 3;
+const ZONE = 'zone-a';
+const READY_MS = 10_000;
+const MESH_KEY = 'test-key';
+
+/** A whole answer, or what arrived of one that was cut. */
+export interface UsersAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** True when the connection ended before the answer did. */
+  readonly cut: boolean;
+  readonly tookMs: number;
+}
+
+export interface UsersCall {
+  readonly path: string;
+  readonly id?: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly agent?: Agent;
+  /** Leaves after this time. */
+  readonly leaveAfterMs?: number;
+  readonly gateway?: number;
+}
+
+interface Gateway {
+  readonly process: FleetProcess;
+  readonly ip: string;
+  readonly callerPort: number;
+  readonly readyPort: number;
+}
+
+let nextIp = 10 + (process.pid % 200) * 1;
+/** Loopback addresses of this scenario's machines; parallel runs keep apart by process. */
+function newIp(): string {
+  nextIp += 1;
+  return `127.${1 + (process.pid % 250)}.${Math.floor(nextIp / 250)}.${1 + (nextIp % 250)}`;
+}
+
+export class UsersFleet {
+  readonly store = new MetadataStore();
+  readonly services: UsersReplica[] = [];
+  readonly engines: UsersReplica[] = [];
+  readonly gateways: Gateway[] = [];
+  readonly stewards: FleetProcess[] = [];
+  private readonly hosts = new Map<UsersReplica, string>();
+  private readonly folder = mkdtempSync(join(tmpdir(), 'jasminepost-users-'));
+  private storeAddress = '';
+  private meshPort = 0;
+  private version = 1;
+  private lastId = 0;
+
+  /** Starts everything and waits until the gateways are ready. */
+  async start(services: number, engines: number, gateways: number): Promise<void> {
+    this.storeAddress = await this.store.listen();
+    this.meshPort = await freePort();
+    for (let i = 0; i < services; i++) await this.addReplica('orders', false);
+    for (let i = 0; i < engines; i++) await this.addReplica('models', true);
+    for (const replica of [...this.services, ...this.engines]) this.register(replica);
+    this.configure({});
+    for (const engine of this.engines) this.startSteward(engine);
+    for (let i = 0; i < gateways; i++) await this.startGateway();
+    for (const gateway of this.gateways) await this.ready(gateway);
+  }
+
+  async stop(): Promise<void> {
+    for (const process of [...this.gateways.map(g => g.process), ...this.stewards]) {
+      await process.kill();
+    }
+    for (const replica of [...this.services, ...this.engines]) replica.close();
+    this.store.close();
+    rmSync(this.folder, {recursive: true});
+  }
+
+  /** Writes the replica's entry. */
+  register(replica: UsersReplica, state: 'ready' | 'draining' = 'ready'): void {
+    const host = this.hosts.get(replica) ?? '';
+    this.store.put(`servers/${replica.id}`, replica.entry(host, state));
+  }
+
+  /** Writes a configuration with the given changes to its routes. */
+  configure(change: {readonly timeoutMs?: number; readonly extraRoute?: string}): void {
+    const {timeoutMs = 3000} = change;
+    const plain = {host: HOST, timeoutMs, targetLatencyMs: 200, service: 'orders'};
+    const stream = {
+      host: HOST,
+      kind: 'streaming',
+      timeoutMs,
+      targetLatencyMs: 800,
+      targetGapMs: 250,
+      service: 'models',
+    };
+    const routes: unknown[] = [
+      {...plain, name: 'order', pathPrefix: '/order/', kind: 'unsafe', attempts: 1},
+      {...plain, name: 'read', pathPrefix: '/read/', kind: 'safe', attempts: 2},
+      {...stream, name: 'draft', pathPrefix: '/draft/', attempts: 1, canResume: false},
+      {...stream, name: 'long', pathPrefix: '/long/', attempts: 2, canResume: true},
+    ];
+    if (change.extraRoute !== undefined) {
+      const name = change.extraRoute;
+      routes.push({...plain, name, pathPrefix: `/${name}/`, kind: 'safe', attempts: 2});
+    }
+    const model = (name: string, adapters: number) => ({
+      name,
+      weightsMb: 40,
+      loadS: 1,
+      diskS: 0.5,
+      warmS: 0.2,
+      adapters,
+      adapterMb: 1,
+    });
+    const engine = {
+      slots: 8,
+      kvCapacity: 100_000,
+      weightsMb: 100,
+      adapterSlots: 2,
+      loadsPerS: 5,
+      models: [model(MODEL, ADAPTERS), model('summary', 0), model('rare', 0)],
+    };
+    this.store.put('op/config', {
+      version: this.version++,
+      routes,
+      services: [
+        {name: 'orders', maxConnections: 50},
+        {name: 'models', maxConnections: 50, engine},
+      ],
+      limits: {
+        headerBytes: 16_384,
+        bodyBytes: 65_536,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15_000,
+      },
+    });
+  }
+
+  async call(call: UsersCall): Promise<UsersAnswer> {
+    const {ip, callerPort} = this.gateways[call.gateway ?? 0];
+    const startedMs = performance.now();
+    const id = call.id ?? `req-${++this.lastId}`;
+    const method = call.method ?? (call.path.startsWith('/read/') ? 'GET' : 'POST');
+    return new Promise(resolve => {
+      let body = '';
+      const finish = (answer: Omit<UsersAnswer, 'body' | 'tookMs'>) =>
+        resolve({...answer, body, tookMs: performance.now() - startedMs});
+      const req = request({
+        host: ip,
+        port: callerPort,
+        method,
+        path: call.path,
+        agent: call.agent ?? false,
+        headers: {
+          host: HOST,
+          'request-id': id,
+          'deadline-ms': '3000',
+          ...(call.path.startsWith('/draft/') || call.path.startsWith('/long/')
+            ? {model: MODEL, 'token-usage': '100,20', 'prompt-prefix': 'aa:50,bb:50'}
+            : {}),
+          ...call.headers,
+        },
+      });
+      req.on('response', res => {
+        const {statusCode: status = 0, headers} = res;
+        res.on('data', (chunk: Buffer) => (body += chunk.toString('utf8')));
+        res.on('end', () => finish({status, headers, cut: !res.complete}));
+        res.on('error', () => finish({status, headers, cut: true}));
+      });
+      req.on('error', () => finish({status: 0, headers: {}, cut: true}));
+      if (call.leaveAfterMs !== undefined) setTimeout(() => req.destroy(), call.leaveAfterMs);
+      req.end(method === 'GET' ? undefined : (call.body ?? 'a body'));
+    });
+  }
+
+  async isReady(gateway: number): Promise<boolean> {
+    const {ip, readyPort} = this.gateways[gateway];
+    try {
+      return (await fetch(`http://${ip}:${readyPort}/-/ready`)).status === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  async startGateway(): Promise<void> {
+    const ip = newIp();
+    const [callerPort, readyPort] = [await freePort(), await freePort()];
+    const process = this.spawn('jasminepost-gateway', ip, {
+      listenAddrs: {front: `${ip}:${callerPort}`, readyAddr: `${ip}:${readyPort}`},
+    });
+    this.gateways.push({process, ip, callerPort, readyPort});
+  }
+
+  private startSteward(engine: UsersReplica): void {
+    const ip = this.hosts.get(engine) ?? '';
+    const process = this.spawn('jasminepost-steward', ip, {
+      app: `${ip}:${engine.port}`,
+      service: engine.service,
+    });
+    this.stewards.push(process);
+  }
+
+  private spawn(program: string, ip: string, more: object): FleetProcess {
+    const id = `${program}-${ip}`;
+    const path = join(this.folder, `${id}.json`);
+    writeFileSync(
+      path,
+      JSON.stringify(
+        usersSettings(id, ip, {
+          internalPorts: [this.meshPort, this.meshPort + 10],
+          platform: {address: this.storeAddress, ttlMinMs: 1000},
+          ...more,
+        }),
+      ),
+    );
+    return new FleetProcess(program, ['--config', path, '--mesh-key', MESH_KEY]);
+  }
+
+  private async addReplica(service: string, isEngine: boolean): Promise<void> {
+    const list = isEngine ? this.engines : this.services;
+    const replica = new UsersReplica(`i-${service}-${list.length + 1}`, service, ZONE, isEngine);
+    if (isEngine) replica.models.set(MODEL, new Set());
+    const host = newIp();
+    this.hosts.set(replica, host);
+    await replica.listen(host);
+    list.push(replica);
+  }
+
+  private async ready(gateway: Gateway): Promise<void> {
+    const index = this.gateways.indexOf(gateway);
+    await until('a ready gateway', READY_MS, async () => {
+      if (!gateway.process.running) throw new Error(gateway.process.log.join(''));
+      return (await this.isReady(index)) ? true : undefined;
+    });
+  }
+}
+
+/** A settings file as the platform writes it. */
+export function usersSettings(node: string, ip: string, more: object): Record<string, unknown> {
+  return {
+    node,
+    ip,
+    zone: ZONE,
+    internalPorts: [7000, 7010],
+    listenAddrs: {},
+    limits: {memoryMb: 350},
+    bounds: {
+      drainMs: 2000,
+      graceS: 5,
+      configApplyMs: 2000,
+      budgetRatio: 0.2,
+      budgetWindowS: 10,
+      budgetSlack: 52,
+      leaseMs: 3000,
+      ceilingWindowS: 5,
+      ceilingOvershoot: 1.1,
+    },
+    ...more,
+  };
+}
--- /dev/null
+++ b/features/users_platform.feature
@@ -0,0 +1,124 @@
+Feature: The users' platform
+
+  Scenario: an order reaches a replica once and its answer comes back unchanged
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    When a caller sends an order
+    Then the answer is the replica's own, with its signature
+    And the order ran once, with the caller's method, path and body
+
+  Scenario Outline: an answer that is "<fault>"
+    Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
+    And the replicas' fault is "<fault>"
+    When a caller sends an order
+    Then the caller gets <result>
+    And the order ran at most once
+
+    Examples:
+      | fault                   | result           |
+      | sheds                   | a refusal        |
+      | sheds without saying so | status 502       |
+      | fails                   | status 500       |
+      | unsigned                | status 502       |
+      | foreign answer          | status 502       |
+      | cut in the answer       | a cut answer     |
+      | unframed                | a whole answer   |
+      | unframed and cut        | a cut answer     |
+      | reset before the answer | status 502       |
+      | mute                    | status 504       |
+
+  Scenario: a read that one replica fails is sent to another
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    And the first replica's fault is "fails"
+    When a caller sends 12 reads
+    Then every answer is whole
+    And no read ran on more than 2 replicas
+
+  Scenario: headers that are the system's to set
+    Given a users' fleet of 0 service replicas, 1 engines and 1 gateway
+    When a caller sends a draft with its own "Hold, Pin-Ms, Kv-From, Kv-Backup, Kv-Fetch, Request-Priority, Expect-Instance"
+    Then the replica saw none of "Hold, Pin-Ms, Kv-From, Kv-Backup, Kv-Fetch" from the caller
+    And the replica was named in the request
+    And the replica was given less time than the caller has
+
+  Scenario: a route's time is kept
+    Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
+    And the routes' time is 400 ms
+    And the replicas' fault is "mute"
+    When a caller sends an order
+    Then the caller gets status 504
+    And the answer took between 380 and 700 ms
+
+  Scenario: a caller that leaves
+    Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
+    And the replicas need 1500 ms for a request
+    When a caller sends an order and leaves after 100 ms
+    Then the replica sees the request abandoned within 500 ms
+
+  Scenario Outline: a resumable stream that is cut "<where>"
+    Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
+    And the first engine's fault is "<where>"
+    When a caller sends 6 long drafts
+    Then every stream has each event once, in order
+
+    Examples:
+      | where           |
+      | cut in an event |
+
+  Scenario: an adapter is loaded for the request that needs it
+    Given a users' fleet of 0 service replicas, 1 engines and 1 gateway
+    When a caller sends a draft for each of 3 adapters in turn
+    Then every answer is whole
+    And the engine never held more than 2 adapters
+    And every order had a larger fence than the one before
+
+  Scenario: a model that no replica holds is loaded and served
+    Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
+    When a caller sends a patient draft for the model "rare"
+    Then every answer is whole
+
+  Scenario Outline: a replica that is <gone>
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    When the first replica is <gone>
+    And a caller sends 10 orders
+    Then none of them reached the first replica
+
+    Examples:
+      | gone                      |
+      | draining                  |
+      | taken off the list        |
+      | replaced by a broken entry |
+
+  Scenario: entries that lapsed while the store was away
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    When the store is away for 4000 ms and the replicas' entries lapse meanwhile
+    And the entries are back 1000 ms after it
+    Then orders were answered all the while
+
+  Scenario: a configuration comes into force while the store forgets its history
+    Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
+    When the store forgets its history and a configuration adds the route "added"
+    Then the route "added" is served within 2000 ms
+
+  Scenario: a gateway that is stopped
+    Given a users' fleet of 1 service replicas, 0 engines and 2 gateway
+    And the replicas need 1500 ms for a request
+    When the first gateway is stopped while 5 orders run
+    Then every answer is whole
+    And the first gateway has said that it is not ready
+    And it has ended
+
+  Scenario: a gateway that knows no configuration
+    Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
+    When another gateway starts while the store is away
+    Then that gateway is not ready and refuses an order with 503
+
+  Scenario Outline: a settings file with <fault>
+    When a gateway starts with a settings file with <fault>
+    Then it ends at once and names "<field>"
+
+    Examples:
+      | fault                 | field                    |
+      | no node               | node                     |
+      | a bad store address   | platform.address         |
+      | no address for callers | listenAddrs.front        |
+      | a text as a bound     | bounds.drainMs           |
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,3 +39,4 @@
   type Verdict,
 } from './lib/verdict.ts';
 export type {RequestClass, UpstreamKind} from './lib/vocabulary.ts';
+export {resetNow} from './lib/reset_now.ts';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -49,3 +49,4 @@
   type PlanModel,
   type PlanReplica,
 } from './lib/engine_plan.ts';
+export {requestTimes, type RequestTimes, type TimeInputs} from './lib/request_times.ts';
--- /dev/null
+++ b/packages/policy/src/lib/request_times.ts
@@ -0,0 +1,49 @@
+/** Moments in a request's life that decide whether it is still worth sending. */
+
+/** @public */
+export interface TimeInputs {
+  readonly arrivedMs: number;
+  /** Time that the caller, and the operator, let the request take. */
+  readonly limitMs: number;
+  readonly targetLatencyMs: number;
+  /** Longest pause between two events of a stream; 0 for other kinds. */
+  readonly targetGapMs: number;
+  /** Expected time from sending to the first event, on an idle replica. */
+  readonly firstEventMs: number;
+}
+
+/** @public */
+export interface RequestTimes {
+  readonly deadlineMs: number;
+  /** Last moment at which a send still meets the target. */
+  readonly sendByMs: number;
+  /** Moment after which a send finds the caller gone. */
+  readonly uselessMs: number;
+}
+
+/** A caller leaves a stream that shows no event for the longest of these three. */
+const MIN_PATIENCE_MS = 2000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
+/** Two trips across the fleet and the caller's network. */
+const TRAVEL_MS = 25;
+
+/**
+ * @example
+ * const {sendByMs} = requestTimes({arrivedMs: now, limitMs: 5000, ...});
+ * @public
+ */
+export function requestTimes(inputs: TimeInputs): RequestTimes {
+  const {arrivedMs, limitMs, targetLatencyMs, targetGapMs, firstEventMs} = inputs;
+  const patienceMs = Math.max(
+    MIN_PATIENCE_MS,
+    PATIENCE_TARGETS * targetLatencyMs,
+    PATIENCE_GAPS * targetGapMs,
+  );
+  const deadlineMs = arrivedMs + limitMs;
+  return {
+    deadlineMs,
+    sendByMs: arrivedMs + Math.min(targetLatencyMs, limitMs) - firstEventMs - TRAVEL_MS,
+    uselessMs: Math.min(deadlineMs, arrivedMs + patienceMs) - firstEventMs,
+  };
+}
--- a/packages/serving/src/lib/generation.ts
+++ b/packages/serving/src/lib/generation.ts
@@ -18,3 +18,13 @@
   /** In the order of the prompt; the last part is the request's own. */
   readonly parts: readonly PromptPart[];
 }
+
+/** Stands for the generation of a request that names no model. @public */
+export const NO_GENERATION: Generation = {
+  model: '',
+  adapter: '',
+  tokensIn: 0,
+  maxTokensOut: 0,
+  lengthHint: 0,
+  parts: [],
+};
--- /dev/null
+++ b/stand_ins/users_platform/replica.ts
@@ -0,0 +1,276 @@
+/** Stand-in for a replica on the users' platform, with the faults that their page names. */
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {resetNow, sleep} from '@jasminepost/core';
+import {sendJson} from '../json_server.ts';
+
+/** What goes wrong with the requests to come. */
+export type ReplicaFault =
+  | 'none'
+  | 'sheds'
+  | 'sheds without saying so'
+  | 'fails'
+  | 'unsigned'
+  | 'foreign answer'
+  | 'cut in the answer'
+  | 'unframed'
+  | 'unframed and cut'
+  | 'reset before the answer'
+  | 'mute'
+  | 'cut in an event';
+
+export interface SeenRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** True once the caller has closed the connection before the end of the answer. */
+  abandoned: boolean;
+}
+
+interface Order {
+  readonly operation: 'loading' | 'unloading';
+  readonly model: string;
+  readonly adapter?: string;
+  readonly expected?: number;
+  readonly holder: string;
+  readonly fencingToken: number;
+}
+
+const EVENTS = 4;
+const EVENT_MS = 15;
+const ADAPTER_MS = 10;
+
+export class UsersReplica {
+  fault: ReplicaFault = 'none';
+  /** Requests that have run. */
+  readonly runs: SeenRequest[] = [];
+  readonly orders: Order[] = [];
+  /** Time that a request takes up to its answer. */
+  workMs = 5;
+  loadMs = 60;
+  readonly models = new Map<string, Set<string>>();
+  readonly onDisk = new Set<string>();
+  sequence = 0;
+  born = Date.now();
+  private busy = false;
+  private readonly incoming = new Set<string>();
+  private readonly server: Server;
+
+  constructor(
+    readonly id: string,
+    readonly service: string,
+    readonly zone: string,
+    readonly isEngine: boolean,
+  ) {
+    this.server = createServer((req, res) => void this.handle(req, res));
+    this.server.keepAliveTimeout = 30_000;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  async listen(host: string): Promise<void> {
+    await new Promise<void>(resolve => this.server.listen(0, host, resolve));
+  }
+
+  close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  /** What the replica writes of itself into the store. */
+  entry(host: string, state: 'ready' | 'draining' = 'ready'): unknown {
+    return {
+      service: this.service,
+      address: `${host}:${this.port}`,
+      zone: this.zone,
+      version: 'v1',
+      slots: 8,
+      state,
+      coldRemainingMs: 0,
+      sequence: this.sequence,
+      born: this.born,
+      models: this.held(),
+    };
+  }
+
+  private held(): unknown {
+    return [...this.models].map(([name, adapters]) => ({
+      name,
+      version: 1,
+      adapters: [...adapters],
+    }));
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readText(req);
+    if (req.url === '/-/report') return this.report(res);
+    if (req.url === '/-/order') return this.order(JSON.parse(body) as Order, req, res);
+    if (this.refuses(req, res)) return;
+    const seen: SeenRequest = {
+      id: String(req.headers['request-id']),
+      method: req.method ?? '',
+      path: req.url ?? '',
+      headers: req.headers,
+      body,
+      abandoned: false,
+    };
+    this.runs.push(seen);
+    res.on('close', () => (seen.abandoned = !res.writableFinished));
+    await sleep(this.workMs);
+    await this.answer(seen, req, res);
+  }
+
+  private refuses(req: IncomingMessage, res: ServerResponse): boolean {
+    const expected = req.headers['expect-instance'];
+    if (expected !== undefined && expected !== this.id) {
+      res.writeHead(421, {'instance-id': this.id, 'content-length': '0'}).end();
+      return true;
+    }
+    const [model, adapter] = String(req.headers.model ?? '').split('/');
+    const adapters = this.models.get(model);
+    const missing = adapters === undefined || (adapter !== undefined && !adapters.has(adapter));
+    if (this.isEngine && missing) {
+      res.writeHead(421, {'instance-id': this.id, 'content-length': '0'}).end();
+      return true;
+    }
+    if (this.fault === 'sheds') {
+      res.writeHead(503, {'not-executed': '1', 'content-length': '0'}).end();
+      return true;
+    }
+    return false;
+  }
+
+  private async answer(
+    seen: SeenRequest,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const signature = {'response-signature': `sig.${this.id}.${seen.id}`};
+    const headers = {'request-id': seen.id, 'server-load': '1,0,8', ...signature};
+    const text = `answer of ${this.id} to ${seen.id}`;
+    const length = {'content-length': String(text.length)};
+    const {socket} = req;
+    switch (this.fault) {
+      case 'sheds without saying so':
+        res.writeHead(503, {...headers, 'content-length': '0'}).end();
+        return;
+      case 'fails':
+        res.writeHead(500, {...headers, ...length}).end(text);
+        return;
+      case 'unsigned':
+        res.writeHead(200, {'request-id': seen.id, ...length}).end(text);
+        return;
+      case 'foreign answer':
+        res.writeHead(200, {...headers, ...length, 'request-id': 'another'}).end(text);
+        return;
+      case 'cut in the answer':
+        res.writeHead(200, {...headers, ...length}).write(text.slice(0, 5));
+        setTimeout(() => socket.destroy(), 10);
+        return;
+      case 'unframed':
+      case 'unframed and cut': {
+        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+        const cut = this.fault === 'unframed and cut';
+        socket.write(`HTTP/1.1 200 OK\r\n${lines.join('')}connection: close\r\n\r\n`);
+        socket.write(cut ? text.slice(0, 5) : text);
+        setTimeout(() => (cut ? resetNow(socket) : socket.end()), 10);
+        return;
+      }
+      case 'reset before the answer':
+        resetNow(socket);
+        return;
+      case 'mute':
+        return;
+      case 'sheds':
+      case 'cut in an event':
+      case 'none':
+        if (this.isEngine) await this.stream(headers, req, res);
+        else res.writeHead(200, {...headers, ...length}).end(text);
+    }
+  }
+
+  private async stream(
+    headers: Record<string, string>,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const cut = this.fault === 'cut in an event';
+    res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+    const first = Number(req.headers['last-event-id'] ?? 0) + 1;
+    for (let id = first; id <= EVENTS; id++) {
+      if (res.destroyed) return;
+      const event = `id: ${id}\ndata: piece ${id}\n\n`;
+      if (cut && id === 3) {
+        res.write(event.slice(0, 8));
+        setTimeout(() => req.socket.destroy(), 10);
+        return;
+      }
+      res.write(event);
+      await sleep(EVENT_MS);
+    }
+    res.end();
+  }
+
+  private report(res: ServerResponse): void {
+    sendJson(res, 200, {
+      stage: 'unified',
+      born: this.born,
+      models: this.held(),
+      busy: this.busy,
+      sequence: this.sequence,
+      queueDepth: 0,
+      activeRequests: 0,
+      kvUsed: 0,
+      kvTotal: 100_000,
+      handles: 0,
+      incoming: [...this.incoming],
+      available: {inMemory: [], onDisk: [...this.onDisk]},
+      runs: [],
+    });
+  }
+
+  private order(order: Order, req: IncomingMessage, res: ServerResponse): void {
+    this.orders.push(order);
+    const expected = req.headers['expect-instance'];
+    if (expected !== undefined && expected !== this.id) return sendJson(res, 421, {});
+    const stale = order.expected !== undefined && order.expected !== this.sequence;
+    if (this.busy || stale) return sendJson(res, 409, {});
+    this.sequence += 1;
+    if (order.adapter === undefined) this.moveModel(order);
+    else this.moveAdapter(order.model, order.adapter, order.operation);
+    sendJson(res, 202, {});
+  }
+
+  private moveModel({operation, model}: Order): void {
+    this.busy = true;
+    setTimeout(() => {
+      this.busy = false;
+      if (operation === 'loading') this.models.set(model, new Set());
+      else this.models.delete(model);
+      this.onDisk.add(model);
+    }, this.loadMs);
+  }
+
+  private moveAdapter(model: string, adapter: string, operation: Order['operation']): void {
+    if (operation === 'unloading') {
+      this.models.get(model)?.delete(adapter);
+      return;
+    }
+    const key = `${model}/${adapter}@1`;
+    this.incoming.add(key);
+    setTimeout(() => {
+      this.incoming.delete(key);
+      this.models.get(model)?.add(adapter);
+    }, ADAPTER_MS);
+  }
+}
+
+async function readText(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+}
