Prefetch models that may rise; let estimates rise slowly

Models with adapters now get copies of their weights before traffic. Prefill estimates learned from contended samples had grown fivefold.

--- a/apps/gateway/src/lib/prefill_estimator.ts
+++ b/apps/gateway/src/lib/prefill_estimator.ts
@@ -5,6 +5,8 @@
 const SAMPLE_WEIGHT = 0.08;
 /** Time up to the first event that does not depend on the prompt. */
 const FIXED_MS = 15;
+/** Samples above the estimate mostly tell of other gateways' requests in between. */
+const RISING_WEIGHT = 0.01;
 
 /** @internal */
 export class PrefillEstimator {
@@ -20,6 +22,7 @@
     if (tokens <= 0) return;
     const known = this.msPerToken.get(model) ?? INITIAL_MS_PER_TOKEN;
     const sample = Math.max(0, firstEventMs - FIXED_MS) / tokens;
-    this.msPerToken.set(model, known + SAMPLE_WEIGHT * (sample - known));
+    const weight = sample > known ? RISING_WEIGHT : SAMPLE_WEIGHT;
+    this.msPerToken.set(model, known + weight * (sample - known));
   }
 }
--- a/packages/policy/src/lib/engine_plan.ts
+++ b/packages/policy/src/lib/engine_plan.ts
@@ -19,6 +19,8 @@
 export interface PlanModel {
   readonly name: string;
   readonly weightsMb: number;
+  /** Adapters that exist for it. */
+  readonly adapters: number;
   readonly storeLoadS: number;
   readonly diskLoadS: number;
   readonly memoryLoadS: number;
@@ -71,6 +73,8 @@
 const OUT_OF_REACH_WORTH = 1.2;
 /** Worth of keeping the last copy of a model that may be asked for urgently at any moment. */
 const SLEEPING_COPY_WORTH = 0.8;
+/** The same before it is known whether it is asked for at all. */
+const UNKNOWN_COPY_WORTH = 0.4;
 /** Replicas that should have the weights of such a model, in use or as a copy. */
 const NEAR_COPIES = 4;
 /** Worth of one more of them, and the loads from the weight store that are left for demand. */
@@ -177,7 +181,7 @@
     if (copies === 0) {
       if (urgent) return REACH_WORTH + model.waiting + model.load;
       if (model.waiting > 0) return PATIENT_REACH_WORTH + model.waiting;
-      return isPatient(model) ? PATIENT_COPY_WORTH : SLEEPING_COPY_WORTH;
+      return isPatient(model) ? PATIENT_COPY_WORTH : this.sleepingWorth(model);
     }
     if (copies < this.wanted(model)) return (model.load + (urgent ? SPREAD_WORTH : 0)) / copies;
     return this.nearWorth(model);
@@ -185,7 +189,7 @@
 
   /** Worth of weights near at hand for a model whose demand may rise within seconds. */
   private nearWorth(model: PlanModel): number {
-    if (!this.input.settled || isPatient(model) || this.storeLoads <= RESERVED_LOADS) return 0;
+    if (!this.mayRise(model) || this.storeLoads <= RESERVED_LOADS) return 0;
     const near = this.near.get(model.name) ?? 0;
     return near < NEAR_COPIES ? NEAR_WORTH / Math.max(1, near) : 0;
   }
@@ -204,11 +208,25 @@
       return (model.load + (urgent ? SPREAD_WORTH : 0)) / (copies - 1);
     }
     if (urgent) return REACH_WORTH + model.load;
-    if (!isPatient(model)) return SLEEPING_COPY_WORTH;
+    if (!isPatient(model)) return this.sleepingWorth(model);
     const elsewhere = (this.near.get(name) ?? 0) > 1;
     return elsewhere || source !== 'store' ? PATIENT_COPY_WORTH : OUT_OF_REACH_WORTH;
   }
 
+  /**
+   * True for a model whose demand may rise within seconds: one that was asked for urgently, one
+   * that somebody has made adapters for, or one that has been silent while the others were not.
+   */
+  private mayRise(model: PlanModel): boolean {
+    if (isPatient(model)) return false;
+    const seen = model.askedMs !== Number.NEGATIVE_INFINITY;
+    return seen || model.adapters > 0 || this.input.settled;
+  }
+
+  private sleepingWorth(model: PlanModel): number {
+    return this.mayRise(model) ? SLEEPING_COPY_WORTH : UNKNOWN_COPY_WORTH;
+  }
+
   private wanted(model: PlanModel): number {
     return wantedCopies(model, this.input.replicas.length, this.input.nowMs);
   }
