Take the later start as the replica at an address, and a steward's word that it is down

Cause: after a power-off all model replicas come back empty under new ids, while the entries of those before stay for three heartbeats; they were routed to and counted as copies by the planner. The scenario of two entries with one address failed first; that of an engine that is down passed before, too, by way of a retry.

--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -29,7 +29,7 @@
   prefillMs = INITIAL_PREFILL_MS;
   /** False once the platform no longer lists it; requests in progress go on. */
   listed = true;
-  /** True when another replica answered at its address. */
+  /** True when another replica has its address now. */
   displaced = false;
 
   private load: EngineLoadMessage | undefined;
@@ -52,7 +52,7 @@
 
   /** True when new requests may go there. */
   get usable(): boolean {
-    return this.listed && !this.entry.leaving && !this.displaced;
+    return this.listed && !this.entry.leaving && !this.displaced && !this.isDown();
   }
 
   /** What it holds: its steward's word if that is of the same incarnation, else its entry's. */
@@ -133,6 +133,13 @@
     };
   }
 
+  /** True when the steward beside it finds no replica there, or one that started later. */
+  private isDown(): boolean {
+    const {state, entry} = this;
+    if (state === undefined) return false;
+    return !state.up || (entry.bornMs > 0 && state.bornMs > entry.bornMs);
+  }
+
   private stewardAccount(): (EngineStateMessage & WeightCopies) | undefined {
     const {state, entry} = this;
     if (state === undefined || !state.up) return undefined;
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -95,6 +95,7 @@
     const maxConnections = this.services.get(entry.service)?.maxConnections ?? 64;
     const replica = new Replica(entry, new ReplicaChannel(entry.address, maxConnections));
     this.replicas.set(entry.id, replica);
+    this.settleAddress(replica);
     this.log.info('replica listed', {
       replica: entry.id,
       service: entry.service,
@@ -106,6 +107,20 @@
     this.events.onChanged();
   }
 
+  /** Of two entries with one address the later start is the replica that is there. */
+  private settleAddress(replica: Replica): void {
+    for (const other of this.replicas.values()) {
+      if (other === replica || !sameAddress(other.entry, replica.entry)) continue;
+      const earlier = other.entry.bornMs < replica.entry.bornMs ? other : replica;
+      if (earlier.displaced) continue;
+      earlier.displaced = true;
+      this.log.info('replica displaced', {
+        replica: earlier.id,
+        by: earlier === other ? replica.id : other.id,
+      });
+    }
+  }
+
   private logState(before: ReplicaEntry, after: ReplicaEntry): void {
     if (before.leaving === after.leaving) return;
     this.log.info('replica state', {replica: after.id, leaving: after.leaving});
@@ -160,10 +175,9 @@
 }
 
 function sameInstance(a: ReplicaEntry, b: ReplicaEntry): boolean {
-  return (
-    a.bornMs === b.bornMs &&
-    a.service === b.service &&
-    a.address.host === b.address.host &&
-    a.address.port === b.address.port
-  );
+  return a.bornMs === b.bornMs && a.service === b.service && sameAddress(a, b);
+}
+
+function sameAddress(a: ReplicaEntry, b: ReplicaEntry): boolean {
+  return a.address.host === b.address.host && a.address.port === b.address.port;
 }
--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -150,6 +150,24 @@
   await sleep(SETTLE_MS);
 });
 
+When('the first replica is listed under another id', async function (this: FleetWorld) {
+  const {fleet} = of(this);
+  const [first, second] = fleet.services;
+  // The address has gone to a replica that started later.
+  const entry = second.entry(fleet.hostOf(second)) as object;
+  fleet.store.put(`servers/${first.id}`, {...entry, born: second.born - 1000});
+  await sleep(SETTLE_MS);
+});
+
+When('the first engine goes down and its entry stays', async function (this: FleetWorld) {
+  of(this).fleet.engines[0].close();
+  await sleep(SETTLE_MS);
+});
+
+When('a caller sends {int} drafts', async function (this: FleetWorld, count: number) {
+  await send(this, '/draft/7', count);
+});
+
 When(
   "the store is away for {int} ms and the replicas' entries lapse meanwhile",
   async function (this: FleetWorld, awayMs: number) {
@@ -320,6 +338,12 @@
   for (let i = 1; i < fences.length; i++) assert.ok(fences[i] > fences[i - 1]);
 });
 
+Then('no attempt failed on the way', function (this: FleetWorld) {
+  const log = of(this).fleet.gateways[0].process.log.join('');
+  assert.ok(log.includes('request ended'), log);
+  assert.ok(!log.includes('attempt failed'), log);
+});
+
 Then('none of them reached the first replica', function (this: FleetWorld) {
   const {answers, fleet} = of(this);
   assert.ok(answers.every(({status}) => status === 200));
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -85,6 +85,10 @@
     rmSync(this.folder, {recursive: true});
   }
 
+  hostOf(replica: UsersReplica): string {
+    return this.hosts.get(replica) ?? '';
+  }
+
   /** Writes the replica's entry. */
   register(replica: UsersReplica, state: 'ready' | 'draining' = 'ready'): void {
     const host = this.hosts.get(replica) ?? '';
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -88,6 +88,20 @@
       | taken off the list        |
       | replaced by a broken entry |
 
+  Scenario: two entries with one address
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    When the first replica is listed under another id
+    And a caller sends 10 orders
+    Then every answer is whole
+    And no attempt failed on the way
+
+  Scenario: a model replica that is down is noticed by its steward
+    Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
+    When the first engine goes down and its entry stays
+    And a caller sends 6 drafts
+    Then every answer is whole
+    And no attempt failed on the way
+
   Scenario: entries that lapsed while the store was away
     Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
     When the store is away for 4000 ms and the replicas' entries lapse meanwhile
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,6 +2,9 @@
 import {build} from 'esbuild';
 import {readdirSync, readFileSync} from 'node:fs';
 
+// A deployment carries its packages with it; the repository's own runs take them from npm.
+const bundled = process.env.JASMINEPOST_BUNDLE === '1';
+
 const entryPoints = {
   'jasminepost-entry': 'apps/entry/src/main.ts',
   'jasminepost-sidecar': 'apps/sidecar/src/main.ts',
@@ -9,7 +12,7 @@
   'jasminepost-steward': 'apps/steward/src/main.ts',
   jasminepost: 'apps/cli/src/main.ts',
 };
-for (const file of readdirSync('stand_ins')) {
+for (const file of bundled ? [] : readdirSync('stand_ins')) {
   if (file.endsWith('_main.ts')) {
     entryPoints[`stand_in_${file.replace('_main.ts', '')}`] = `stand_ins/${file}`;
   }
@@ -30,6 +33,13 @@
   },
 };
 
+// Packages in CommonJS call `require`, which a module does not have.
+const BUNDLE_BANNER = [
+  '#!/usr/bin/env node',
+  "import {createRequire as bundleRequire} from 'node:module';",
+  'const require = bundleRequire(import.meta.url);',
+].join('\n');
+
 const externalPackages = {
   name: 'external-packages',
   setup(ctx) {
@@ -50,6 +60,6 @@
   format: 'esm',
   sourcemap: true,
   logLevel: 'warning',
-  banner: {js: '#!/usr/bin/env node'},
-  plugins: [applyMutant, externalPackages],
+  banner: {js: bundled ? BUNDLE_BANNER : '#!/usr/bin/env node'},
+  plugins: bundled ? [applyMutant] : [applyMutant, externalPackages],
 });
