--- /dev/null
+++ b/features/engine_policy.feature
@@ -0,0 +1,47 @@
+Feature: Waiting, choice and placement under replayed loads
+
+  Scenario: a burst on few copies
+    Given a load of 12 replicas in which one model with 2 copies is asked for 40 times a second for 6 s
+    When it is replayed with the line in order and first come, first served
+    Then the line in order serves at least twice as many on time
+    And no request was sent after a less urgent one of its model while it could be on time
+
+  Scenario: demand moves to other models every 10 s
+    Given a load of 12 replicas in which 4 of 10 busy models are in demand, the next two from 10 s and from 20 s on
+    When it is replayed with and without placement
+    Then placement serves more on time
+    And every model that was asked for has been served
+    And no replica was ever over its memory
+    And no more than 10 loads from the weight store began within 5 s
+
+  Scenario Outline: repeated sends of <senders> senders in an outage
+    When <senders> senders try to repeat every request for 60 s with seed <seed>
+    Then no window of 10 s holds more repeats than a fifth of its requests and 52
+
+    Examples:
+      | senders | seed |
+      | 1       | 7    |
+      | 4       | 8    |
+      | 31      | 9    |
+
+  Scenario Outline: the moments of a request with a target of <target> ms
+    Then a request with a limit of <limit> ms, a target of <target> ms and a first event after <first> ms is sent by <by> ms and is useless after <useless> ms
+
+    Examples:
+      | limit | target | first | by   | useless |
+      | 5000  | 800    | 100   | 675  | 3100    |
+      | 20000 | 8000   | 100   | 7875 | 19900   |
+      | 400   | 800    | 100   | 275  | 300     |
+
+  Scenario Outline: orders that are <fault>
+    When a steward gives orders for 40 wishes and 12 placements to a replica whose orders are <fault>, with seed <seed>
+    Then the replica never held more than its memory or its adapter places
+    And every order named the sequence that the replica had
+    And the fences only grew
+
+    Examples:
+      | fault             | seed |
+      | carried out       | 1    |
+      | lost              | 2    |
+      | answered too late | 3    |
+      | carried out late  | 4    |
--- /dev/null
+++ b/features/steps/engine_policy_steps.ts
@@ -0,0 +1,195 @@
+/** Steps of the replayed loads. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {requestTimes, WindowBudget} from '@jasminepost/policy';
+import {SeededRandom} from '../../bench/random.ts';
+import {runOrderHistory, type OrderHistory, type OrderFault} from '../support/order_history.ts';
+import {replay, type ReplayLoad, type ReplayOutcome} from '../support/engine_replay.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const SEED = 20_261;
+const WINDOW_MS = 10_000;
+const RATIO = 0.2;
+const SLACK = 52;
+const BUSY = 10;
+
+const loads = new WeakMap<FleetWorld, ReplayLoad>();
+const outcomes = new WeakMap<FleetWorld, {with: ReplayOutcome; without: ReplayOutcome}>();
+const repeats = new WeakMap<FleetWorld, ReadonlyArray<{atMs: number; repeat: boolean}>>();
+const histories = new WeakMap<FleetWorld, OrderHistory>();
+
+Given(
+  'a load of {int} replicas in which one model with {int} copies is asked for {int} times a second for {int} s',
+  function (this: FleetWorld, replicas: number, copies: number, rate: number, seconds: number) {
+    loads.set(this, {
+      seed: SEED,
+      replicas,
+      models: 1,
+      durationMs: seconds * 1000 + 6000,
+      rate: (_model, atMs) => (atMs < seconds * 1000 ? rate : 0),
+      held: replica => (replica < copies ? [0] : []),
+    });
+  },
+);
+
+Given(
+  'a load of {int} replicas in which {int} of {int} busy models are in demand, the next two from {int} s and from {int} s on',
+  function (
+    this: FleetWorld,
+    replicas: number,
+    active: number,
+    busy: number,
+    first: number,
+    second: number,
+  ) {
+    const shiftOf = (atMs: number) => (atMs > second * 1000 ? 4 : atMs > first * 1000 ? 2 : 0);
+    loads.set(this, {
+      seed: SEED,
+      replicas,
+      models: busy,
+      durationMs: 30_000,
+      // The busiest model has half of the requests, the next ones share the rest.
+      rate: (model, atMs) => {
+        const rank = model - shiftOf(atMs);
+        if (rank < 0 || rank >= active) return 0;
+        return rank === 0 ? 20 : 6;
+      },
+      held: replica => [replica % BUSY, (replica + 5) % BUSY],
+    });
+  },
+);
+
+When(
+  'it is replayed with the line in order and first come, first served',
+  function (this: FleetWorld) {
+    const load = loads.get(this)!;
+    outcomes.set(this, {
+      with: replay(load, {ordersLine: true, plans: false}),
+      without: replay(load, {ordersLine: false, plans: false}),
+    });
+  },
+);
+
+When('it is replayed with and without placement', function (this: FleetWorld) {
+  const load = loads.get(this)!;
+  outcomes.set(this, {
+    with: replay(load, {ordersLine: true, plans: true}),
+    without: replay(load, {ordersLine: true, plans: false}),
+  });
+});
+
+Then('the line in order serves at least twice as many on time', function (this: FleetWorld) {
+  const {with: ordered, without: plain} = outcomes.get(this)!;
+  assert.ok(ordered.onTime >= 2 * plain.onTime, `${ordered.onTime} against ${plain.onTime}`);
+});
+
+Then(
+  'no request was sent after a less urgent one of its model while it could be on time',
+  function (this: FleetWorld) {
+    assert.equal(outcomes.get(this)!.with.inversions, 0);
+  },
+);
+
+Then('placement serves more on time', function (this: FleetWorld) {
+  const {with: planned, without: fixed} = outcomes.get(this)!;
+  assert.ok(planned.onTime > fixed.onTime, `${planned.onTime} against ${fixed.onTime}`);
+});
+
+Then('every model that was asked for has been served', function (this: FleetWorld) {
+  assert.equal(outcomes.get(this)!.with.servedModels.size, 8);
+});
+
+Then('no replica was ever over its memory', function (this: FleetWorld) {
+  assert.equal(outcomes.get(this)!.with.overMemory, 0);
+});
+
+Then(
+  'no more than {int} loads from the weight store began within 5 s',
+  function (this: FleetWorld, most: number) {
+    assert.ok(outcomes.get(this)!.with.mostStoreLoads <= most);
+  },
+);
+
+When(
+  '{int} senders try to repeat every request for {int} s with seed {int}',
+  function (this: FleetWorld, senders: number, seconds: number, seed: number) {
+    const random = new SeededRandom(seed).uniform;
+    const limits = {ratio: RATIO, slack: SLACK, windowMs: WINDOW_MS};
+    const budgets = Array.from({length: senders}, () => new WindowBudget(limits));
+    const sends: Array<{atMs: number; repeat: boolean}> = [];
+    for (let atMs = 0; atMs < seconds * 1000; atMs += 10) {
+      const budget = budgets[Math.floor(random() * senders)];
+      budget.countFirst(atMs);
+      sends.push({atMs, repeat: false});
+      if (budget.tryRepeat(senders, atMs)) sends.push({atMs, repeat: true});
+    }
+    repeats.set(this, sends);
+  },
+);
+
+Then(
+  'no window of {int} s holds more repeats than a fifth of its requests and {int}',
+  function (this: FleetWorld, seconds: number, slack: number) {
+    const sends = repeats.get(this)!;
+    for (let startMs = 0; startMs < 60_000; startMs += 500) {
+      const window = sends.filter(({atMs}) => atMs >= startMs && atMs < startMs + seconds * 1000);
+      const repeated = window.filter(({repeat}) => repeat).length;
+      const allowed = RATIO * (window.length - repeated) + slack;
+      assert.ok(repeated <= allowed, `${repeated} of ${allowed} from ${startMs} ms`);
+    }
+  },
+);
+
+Then(
+  'a request with a limit of {int} ms, a target of {int} ms and a first event after {int} ms is sent by {int} ms and is useless after {int} ms',
+  function (
+    limitMs: number,
+    targetLatencyMs: number,
+    firstEventMs: number,
+    by: number,
+    useless: number,
+  ) {
+    const times = requestTimes({
+      arrivedMs: 0,
+      limitMs,
+      targetLatencyMs,
+      targetGapMs: 250,
+      firstEventMs,
+    });
+    assert.deepEqual([times.sendByMs, times.uselessMs], [by, useless]);
+  },
+);
+
+When(
+  /^a steward gives orders for (\d+) wishes and (\d+) placements to a replica whose orders are (.*), with seed (\d+)$/,
+  async function (
+    this: FleetWorld,
+    wishes: string,
+    placements: string,
+    fault: OrderFault,
+    seed: string,
+  ) {
+    histories.set(
+      this,
+      await runOrderHistory(Number(wishes), Number(placements), fault, Number(seed)),
+    );
+  },
+);
+
+Then(
+  'the replica never held more than its memory or its adapter places',
+  function (this: FleetWorld) {
+    const {overMemory, overPlaces, carriedOut} = histories.get(this)!;
+    assert.deepEqual([overMemory, overPlaces], [0, 0]);
+    assert.ok(carriedOut > 10, String(carriedOut));
+  },
+);
+
+Then('every order named the sequence that the replica had', function (this: FleetWorld) {
+  assert.equal(histories.get(this)!.wrongSequence, 0);
+});
+
+Then('the fences only grew', function (this: FleetWorld) {
+  const {fences} = histories.get(this)!;
+  for (let i = 1; i < fences.length; i++) assert.ok(fences[i] > fences[i - 1]);
+});
