--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -40,9 +40,9 @@
     private readonly events: FleetFeedEvents,
   ) {}
 
-  /** Revision that was taken in last; -1 before the first. */
-  get seenRevision(): number {
-    return this.revision;
+  /** True while the last call to the store was answered. */
+  get reached(): boolean {
+    return this.connected;
   }
 
   start(): void {
--- a/apps/gateway/src/lib/planner_desk.ts
+++ b/apps/gateway/src/lib/planner_desk.ts
@@ -36,6 +36,10 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly lease: TermLease;
+  /** False while the store that holds the role can't be reached. */
+  storeReached(): boolean;
+  /** True when another gateway is known to hold the role. */
+  heldByOther(): boolean;
   readonly loadWindowS: number;
   readonly loadOvershoot: number;
   engines(): ReadonlyArray<{readonly service: string; readonly spec: EngineSpec}>;
@@ -78,12 +82,22 @@
 
   private round(): void {
     const nowMs = this.ctx.clock.monotonicMs();
-    const term = this.ctx.lease.heldTerm();
+    const term = this.actingTerm();
     if (term !== this.term) this.onTerm(term, nowMs);
     if (term === 0 || nowMs - this.heldSinceMs < SETTLE_MS) return;
     for (const {service, spec} of this.ctx.engines()) this.planService(service, spec, nowMs);
   }
 
+  /**
+   * A holder goes on while the store is away, since nobody can take the role over without it.
+   * Where others still reach the store, their larger term makes the stewards ignore this one.
+   */
+  private actingTerm(): number {
+    const held = this.ctx.lease.heldTerm();
+    if (held > 0) return held;
+    return this.ctx.storeReached() || this.ctx.heldByOther() ? 0 : this.term;
+  }
+
   private onTerm(term: number, nowMs: number): void {
     this.ctx.log.info('planner role', {term, before: this.term});
     this.term = term;
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -53,6 +53,11 @@
     this.client.silenceLimitMs = SILENCE_LIMIT_MS;
   }
 
+  /** True when this gateway is the holder that is known. */
+  get isOwnRole(): boolean {
+    return this.address !== undefined && this.isOwn(this.address);
+  }
+
   dispose(): void {
     this.disposer.dispose();
     this.client?.dispose();
@@ -60,7 +65,7 @@
 
   private report(): void {
     this.client?.checkLiveness(performance.now());
-    const own = this.address !== undefined && this.isOwn(this.address);
+    const own = this.isOwnRole;
     const link = this.client?.link;
     if (!own && link === undefined) return;
     const demand = this.takeDemand();
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -124,6 +124,8 @@
     clock,
     log,
     lease,
+    storeReached: () => feed.reached,
+    heldByOther: () => plannerKnown && !plannerLink.isOwnRole,
     loadWindowS: own.bounds.loadWindowS,
     loadOvershoot: own.bounds.loadOvershoot,
     engines: () =>
--- a/apps/steward/src/lib/order_desk.ts
+++ b/apps/steward/src/lib/order_desk.ts
@@ -46,6 +46,7 @@
   /** When each adapter was last wished for or said to be in use. */
   private readonly used = new Map<string, number>();
   private working = false;
+  private highestTerm = 0;
 
   constructor(private readonly ctx: OrderDeskContext) {}
 
@@ -66,7 +67,19 @@
     void this.work();
   }
 
+  /** Takes a placement, unless a planner of a later term has given one before. */
   place(message: PlacementMessage): void {
+    if (message.term < this.highestTerm) {
+      const {term, load, unload} = message;
+      this.ctx.log.info('placement of an earlier term', {
+        term,
+        known: this.highestTerm,
+        load,
+        unload,
+      });
+      return;
+    }
+    this.highestTerm = message.term;
     this.placement = {message, atMs: this.ctx.clock.monotonicMs()};
     void this.work();
   }
--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -45,3 +45,7 @@
       | lost              | 2    |
       | answered too late | 3    |
       | carried out late  | 4    |
+
+  Scenario: a planner that has been replaced
+    When a steward gets a placement of term 2 and then one of term 1
+    Then only the placement of term 2 is carried out
--- a/features/steps/engine_policy_steps.ts
+++ b/features/steps/engine_policy_steps.ts
@@ -3,7 +3,12 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {requestTimes, WindowBudget} from '@jasminepost/policy';
 import {SeededRandom} from '../../bench/random.ts';
-import {runOrderHistory, type OrderHistory, type OrderFault} from '../support/order_history.ts';
+import {
+  placeInTerms,
+  runOrderHistory,
+  type OrderHistory,
+  type OrderFault,
+} from '../support/order_history.ts';
 import {replay, type ReplayLoad, type ReplayOutcome} from '../support/engine_replay.ts';
 import type {FleetWorld} from '../support/world.ts';
 
@@ -16,6 +21,7 @@
 const loads = new WeakMap<FleetWorld, ReplayLoad>();
 const outcomes = new WeakMap<FleetWorld, {with: ReplayOutcome; without: ReplayOutcome}>();
 const repeats = new WeakMap<FleetWorld, ReadonlyArray<{atMs: number; repeat: boolean}>>();
+const loaded = new WeakMap<FleetWorld, string[]>();
 const histories = new WeakMap<FleetWorld, OrderHistory>();
 
 Given(
@@ -193,3 +199,14 @@
   const {fences} = histories.get(this)!;
   for (let i = 1; i < fences.length; i++) assert.ok(fences[i] > fences[i - 1]);
 });
+
+When(
+  'a steward gets a placement of term {int} and then one of term {int}',
+  async function (this: FleetWorld, first: number, second: number) {
+    loaded.set(this, await placeInTerms([first, second]));
+  },
+);
+
+Then('only the placement of term 2 is carried out', function (this: FleetWorld) {
+  assert.deepEqual(loaded.get(this), ['m2']);
+});
--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -3,7 +3,7 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
 import type {ReplicaFault, UsersReplica} from '../../stand_ins/users_platform/replica.ts';
-import {FleetProcess, until} from '../support/fleet_process.ts';
+import {until} from '../support/fleet_process.ts';
 import {MODEL, UsersFleet, type UsersAnswer} from '../support/users_fleet.ts';
 import type {FleetWorld} from '../support/world.ts';
 
@@ -132,6 +132,21 @@
   },
 );
 
+When(
+  'a caller sends a draft and leaves after {int} ms',
+  async function (this: FleetWorld, leaveAfterMs: number) {
+    const {fleet} = of(this);
+    fleet.engines[0].eventMs = 400;
+    await fleet.call({path: '/draft/7', leaveAfterMs});
+  },
+);
+
+When('the store is away', async function (this: FleetWorld) {
+  of(this).fleet.store.mode = 'unavailable';
+  // Longer than the planner's lease.
+  await sleep(3000);
+});
+
 When('the first replica is draining', async function (this: FleetWorld) {
   const {fleet} = of(this);
   fleet.register(fleet.services[0], 'draining');
@@ -370,13 +385,10 @@
   },
 );
 
-Then('the first gateway has said that it is not ready', function (this: FleetWorld) {
-  assert.ok(of(this).wasUnready);
-});
-
-Then('it has ended', async function (this: FleetWorld) {
-  const process: FleetProcess = of(this).fleet.gateways[0].process;
-  assert.equal(await process.exited, 0);
+Then('the gateway had said that it is not ready and has ended', async function (this: FleetWorld) {
+  const {fleet, wasUnready} = of(this);
+  assert.ok(wasUnready);
+  assert.equal(await fleet.gateways[0].process.exited, 0);
 });
 
 Then(
--- a/features/support/order_history.ts
+++ b/features/support/order_history.ts
@@ -96,8 +96,6 @@
     fences: [],
   };
   const engine = new FakeEngine(history);
-  const fence = new FenceCounter(new OneValueStore(), 'replica');
-  await fence.reserve();
   const deliver = async (order: EngineOrder): Promise<OrderOutcome> => {
     if (fault === 'carried out' || random() > FAULT_SHARE) return engine.take(order);
     if (fault === 'answered too late') engine.take(order);
@@ -105,7 +103,46 @@
     await sleep(2);
     return {kind: 'unknown', error: 'no answer'};
   };
-  const desk = new OrderDesk({
+  const desk = await deskOf(engine, history, deliver);
+  for (let i = 0; i < wishes; i++) {
+    const held = [...engine.models.keys()];
+    const model = held[Math.floor(random() * held.length)] ?? 'm0';
+    desk.wishAdapter(model, `a${1 + Math.floor(random() * 6)}`);
+    if (i % Math.ceil(wishes / placements) === 0) placeOne(desk, engine, random);
+    await sleep(25);
+  }
+  await sleep(LATE_MS * 2);
+  return history;
+}
+
+/** Sends placements of the given terms, each for another model; returns what was loaded. */
+export async function placeInTerms(terms: readonly number[]): Promise<string[]> {
+  const history: OrderHistory = {
+    overMemory: 0,
+    overPlaces: 0,
+    wrongSequence: 0,
+    carriedOut: 0,
+    fences: [],
+  };
+  const engine = new FakeEngine(history);
+  const desk = await deskOf(engine, history, order => Promise.resolve(engine.take(order)));
+  for (const [index, term] of terms.entries()) {
+    const load = MODELS[2 + index];
+    const unload = MODELS[index];
+    desk.place({type: 'placement', term, unload, load, fromStore: true});
+    await sleep(LATE_MS * 8);
+  }
+  return [...engine.models.keys()].filter(model => model !== 'm0' && model !== 'm1');
+}
+
+async function deskOf(
+  engine: FakeEngine,
+  history: OrderHistory,
+  deliver: (order: EngineOrder) => Promise<OrderOutcome>,
+): Promise<OrderDesk> {
+  const fence = new FenceCounter(new OneValueStore(), 'replica');
+  await fence.reserve();
+  const desk: OrderDesk = new OrderDesk({
     clock: new SystemClock(),
     log: createLogger('steward', 'test', 'error'),
     orders: new MetricRegistry().counter('orders', 'Orders', 'outcome'),
@@ -125,15 +162,7 @@
     replicaId: () => 'replica',
     onMoving: () => undefined,
   });
-  for (let i = 0; i < wishes; i++) {
-    const held = [...engine.models.keys()];
-    const model = held[Math.floor(random() * held.length)] ?? 'm0';
-    desk.wishAdapter(model, `a${1 + Math.floor(random() * 6)}`);
-    if (i % Math.ceil(wishes / placements) === 0) placeOne(desk, engine, random);
-    await sleep(25);
-  }
-  await sleep(LATE_MS * 2);
-  return history;
+  return desk;
 }
 
 function placeOne(desk: OrderDesk, engine: FakeEngine, random: () => number): void {
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -54,6 +54,17 @@
     When a caller sends an order and leaves after 100 ms
     Then the replica sees the request abandoned within 500 ms
 
+  Scenario: a caller that leaves in the middle of a stream
+    Given a users' fleet of 0 service replicas, 1 engines and 1 gateway
+    When a caller sends a draft and leaves after 35 ms
+    Then the replica sees the request abandoned within 500 ms
+
+  Scenario: placement goes on while the store is away
+    Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
+    When the store is away
+    And a caller sends a patient draft for the model "rare"
+    Then every answer is whole
+
   Scenario Outline: a resumable stream that is cut "<where>"
     Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
     And the first engine's fault is "<where>"
@@ -118,8 +129,7 @@
     And the replicas need 1500 ms for a request
     When the first gateway is stopped while 5 orders run
     Then every answer is whole
-    And the first gateway has said that it is not ready
-    And it has ended
+    And the gateway had said that it is not ready and has ended
 
   Scenario: a gateway that knows no configuration
     Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -39,7 +39,6 @@
 }
 
 const EVENTS = 4;
-const EVENT_MS = 15;
 const ADAPTER_MS = 10;
 
 export class UsersReplica {
@@ -50,6 +49,8 @@
   /** Time that a request takes up to its answer. */
   workMs = 5;
   loadMs = 60;
+  /** Pause between two events of a stream. */
+  eventMs = 15;
   readonly models = new Map<string, Set<string>>();
   readonly onDisk = new Set<string>();
   sequence = 0;
@@ -210,7 +211,7 @@
         return;
       }
       res.write(event);
-      await sleep(EVENT_MS);
+      await sleep(this.eventMs);
     }
     res.end();
   }
