--- /dev/null
+++ b/features/steps/users_platform_checks.ts
@@ -0,0 +1,167 @@
+/** Checks of the scenarios about the users' platform. */
+import assert from 'node:assert/strict';
+import {Then} from '@cucumber/cucumber';
+import {until} from '../support/fleet_process.ts';
+import {MODEL} from '../support/users_fleet.ts';
+import {of, replicas} from '../support/users_notes.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const EVENT_IDS = ['1', '2', '3', '4'];
+
+Then("the answer is the replica's own, with its signature", function (this: FleetWorld) {
+  const {answers, fleet} = of(this);
+  const [answer] = answers;
+  const ran = fleet.services.find(replica => replica.runs.length > 0)!;
+  assert.equal(answer.status, 200);
+  assert.equal(answer.headers['response-signature'], `sig.${ran.id}.${ran.runs[0].id}`);
+  assert.equal(answer.body, `answer of ${ran.id} to ${ran.runs[0].id}`);
+});
+
+Then("the order ran once, with the caller's method, path and body", function (this: FleetWorld) {
+  const runs = replicas(this).flatMap(replica => replica.runs);
+  assert.equal(runs.length, 1);
+  const {method, path, body} = runs[0];
+  assert.deepEqual({method, path, body}, {method: 'POST', path: '/order/7?copy=1', body: 'a body'});
+});
+
+Then('the order ran at most once', function (this: FleetWorld) {
+  assert.ok(replicas(this).flatMap(replica => replica.runs).length <= 1);
+});
+
+Then('the caller gets a refusal', function (this: FleetWorld) {
+  const [answer] = of(this).answers;
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers['retry-after']) >= 0);
+  assert.equal(replicas(this).flatMap(replica => replica.runs).length, 0);
+});
+
+Then('the caller gets status {int}', function (this: FleetWorld, status: number) {
+  assert.equal(of(this).answers[0].status, status);
+});
+
+Then('the caller gets a cut answer', function (this: FleetWorld) {
+  assert.ok(of(this).answers[0].cut);
+});
+
+Then('the caller gets a whole answer', function (this: FleetWorld) {
+  const [answer] = of(this).answers;
+  assert.deepEqual([answer.status, answer.cut], [200, false]);
+  assert.match(answer.body, /^answer of i-orders-1 to req-1$/);
+});
+
+Then('every answer is whole', async function (this: FleetWorld) {
+  for (const {status, cut, body} of of(this).answers) {
+    assert.deepEqual([status, cut], [200, false], body);
+  }
+});
+
+Then('no read ran on more than {int} replicas', function (this: FleetWorld, most: number) {
+  const counts = new Map<string, number>();
+  for (const {id} of replicas(this).flatMap(replica => replica.runs)) {
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  assert.ok([...counts.values()].every(count => count <= most));
+});
+
+Then(
+  'the replica saw none of {string} from the caller',
+  function (this: FleetWorld, names: string) {
+    const [run] = of(this).fleet.engines[0].runs;
+    for (const name of names.split(', ')) assert.equal(run.headers[name.toLowerCase()], undefined);
+    assert.notEqual(run.headers['request-priority'], 'forged');
+  },
+);
+
+Then('the replica was named in the request', function (this: FleetWorld) {
+  const [engine] = of(this).fleet.engines;
+  assert.equal(engine.runs[0].headers['expect-instance'], engine.id);
+});
+
+Then('the replica was given less time than the caller has', function (this: FleetWorld) {
+  const given = Number(of(this).fleet.engines[0].runs[0].headers['deadline-ms']);
+  assert.ok(given > 2000 && given <= 3000, String(given));
+});
+
+Then(
+  'the answer took between {int} and {int} ms',
+  function (this: FleetWorld, least: number, most: number) {
+    const {tookMs} = of(this).answers[0];
+    assert.ok(tookMs >= least && tookMs <= most, String(tookMs));
+  },
+);
+
+Then(
+  'the replica sees the request abandoned within {int} ms',
+  async function (this: FleetWorld, withinMs: number) {
+    await until('an abandoned request', withinMs, async () =>
+      replicas(this)[0].runs[0]?.abandoned === true ? true : undefined,
+    );
+  },
+);
+
+Then('every stream has each event once, in order', function (this: FleetWorld) {
+  for (const {status, cut, body} of of(this).answers) {
+    assert.deepEqual([status, cut], [200, false]);
+    assert.deepEqual(
+      [...body.matchAll(/^id: (\d+)$/gm)].map(match => match[1]),
+      EVENT_IDS,
+    );
+  }
+});
+
+Then('the engine never held more than {int} adapters', function (this: FleetWorld, most: number) {
+  assert.ok(of(this).fleet.engines[0].models.get(MODEL)!.size <= most);
+});
+
+Then('every order had a larger fence than the one before', function (this: FleetWorld) {
+  const fences = of(this).fleet.engines[0].orders.map(order => order.fencingToken);
+  assert.ok(fences.length >= 3);
+  for (let i = 1; i < fences.length; i++) assert.ok(fences[i] > fences[i - 1]);
+});
+
+Then('no attempt failed on the way', function (this: FleetWorld) {
+  const log = of(this).fleet.gateways[0].process.log.join('');
+  assert.ok(log.includes('request ended'), log);
+  assert.ok(!log.includes('attempt failed'), log);
+});
+
+Then('none of them reached the first replica', function (this: FleetWorld) {
+  const {answers, fleet} = of(this);
+  assert.ok(answers.every(({status}) => status === 200));
+  assert.equal(fleet.services[0].runs.length, 0);
+});
+
+Then('orders were answered all the while', function (this: FleetWorld) {
+  const {answers} = of(this);
+  assert.ok(answers.length >= 30);
+  assert.deepEqual(
+    answers.map(({status}) => status),
+    answers.map(() => 200),
+  );
+});
+
+Then(
+  'the route {string} is served within {int} ms',
+  async function (this: FleetWorld, name: string, withinMs: number) {
+    const {fleet} = of(this);
+    await until(`route ${name}`, withinMs, async () => {
+      const {status} = await fleet.call({path: `/${name}/1`, method: 'GET'});
+      return status === 200 ? true : undefined;
+    });
+  },
+);
+
+Then('the gateway had said that it is not ready and has ended', async function (this: FleetWorld) {
+  const {fleet, wasUnready} = of(this);
+  assert.ok(wasUnready);
+  assert.equal(await fleet.gateways[0].process.exited, 0);
+});
+
+Then(
+  'that gateway is not ready and refuses an order with {int}',
+  async function (this: FleetWorld, status: number) {
+    const {answers, fleet} = of(this);
+    assert.equal(await fleet.isReady(1), false);
+    assert.equal(answers[0].status, status);
+  },
+);
--- a/packages/key_value/src/index.ts
+++ b/packages/key_value/src/index.ts
@@ -18,3 +18,4 @@
   type PlanDocument,
 } from './lib/plan_document.ts';
 export {TermLease} from './lib/term_lease.ts';
+export {callStore, type StoreHttpCall, type StoreHttpReply} from './lib/store_http.ts';
--- a/packages/key_value/src/lib/key_value_client.ts
+++ b/packages/key_value/src/lib/key_value_client.ts
@@ -1,8 +1,9 @@
 /** Client of the platform's key-value service; see docs/contracts/key_value.md. */
-import {Agent, request} from 'undici';
+import {Agent} from 'undici';
 import {z} from 'zod';
-import {messageOf, neverSent, PlatformError, type CounterFamily} from '@jasminepost/core';
+import {PlatformError, type CounterFamily} from '@jasminepost/core';
 import type {KeyValueStore, StoredEntry, WriteOutcome} from './key_value_store.ts';
+import {callStore} from './store_http.ts';
 
 const CALL_TIMEOUT_MS = 2000;
 /** Added to a watch's own wait so that the service answers first. */
@@ -120,36 +121,16 @@
     watch?: {timeoutMs: number; signal: AbortSignal},
   ): Promise<Reply> {
     this.calls.increment(kind);
-    const timeout = AbortSignal.timeout(watch?.timeoutMs ?? CALL_TIMEOUT_MS);
-    let status: number;
-    let text: string;
-    try {
-      const res = await request(this.baseUrl + path, {
-        method,
-        dispatcher: watch === undefined ? this.agent : this.watchAgent,
-        headers: {'content-type': 'application/json'},
-        body: body === undefined ? null : JSON.stringify(body),
-        signal: watch === undefined ? timeout : AbortSignal.any([timeout, watch.signal]),
-      });
-      status = res.statusCode;
-      text = await res.body.text();
-    } catch (thrown) {
-      throw new PlatformError(faultOf(method, thrown), `${kind} ${path}: ${messageOf(thrown)}`);
-    }
-    return checkReply(kind, path, status, text);
-  }
-}
-
-function checkReply(kind: KeyValueCall, path: string, status: number, text: string): Reply {
-  // The contract promises that 429 and 503 are answered before anything is applied.
-  if (status === 429 || status === 503) {
-    throw new PlatformError('unavailable', `${kind} ${path}: status ${status}`);
+    const {status, text} = await callStore({
+      name: kind,
+      method,
+      url: this.baseUrl + path,
+      body,
+      dispatcher: watch === undefined ? this.agent : this.watchAgent,
+      timeoutMs: watch?.timeoutMs ?? CALL_TIMEOUT_MS,
+      signal: watch?.signal,
+    });
+    if (status === 400) throw new PlatformError('rejected', `${kind} ${path}: ${text}`);
+    return {status, body: text === '' ? undefined : (JSON.parse(text) as unknown)};
   }
-  if (status >= 500) throw new PlatformError('unknown_outcome', `${kind} ${path}: ${status}`);
-  if (status === 400) throw new PlatformError('rejected', `${kind} ${path}: ${text}`);
-  return {status, body: text === '' ? undefined : (JSON.parse(text) as unknown)};
-}
-
-function faultOf(method: string, thrown: unknown): 'unavailable' | 'unknown_outcome' {
-  return method === 'GET' || neverSent(thrown) ? 'unavailable' : 'unknown_outcome';
 }
