--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -17,6 +17,11 @@
 ): {readonly address: HostPort | undefined} | undefined {
   if (change.key !== HOLDER_KEY) return undefined;
   if (change.value === undefined) return {address: undefined};
-  const {holder} = JSON.parse(change.value) as {readonly holder: string};
-  return {address: checkHostPort(HOLDER_KEY, holder)};
+  try {
+    const {holder} = JSON.parse(change.value) as {readonly holder: string};
+    return {address: checkHostPort(HOLDER_KEY, holder)};
+  } catch {
+    // Another writer's value names no planner; the next holder replaces it.
+    return {address: undefined};
+  }
 }
