--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -102,11 +102,11 @@
     return this.members.delete(member);
   }
 
-  /** Requests of a model that wait, for the planner. */
-  waitingFor(service: string, model: string): number {
+  /** Requests that wait for a model, as `service/model`. */
+  waitingFor(key: string): number {
     let count = 0;
-    for (const {service: s, generation} of this.members.keys()) {
-      if (s === service && generation.model === model) count += 1;
+    for (const {service, generation} of this.members.keys()) {
+      if (`${service}/${generation.model}` === key) count += 1;
     }
     return count;
   }
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -12,6 +12,14 @@
 /** The planner answers probes only; a link is probed after half of this. */
 const SILENCE_LIMIT_MS = 4000;
 
+/** @internal */
+export interface PlannerLinkEvents {
+  /** Takes what has been counted since the last call. */
+  takeDemand(): ModelDemandMessage;
+  /** Called instead of a send while this gateway is the planner. */
+  onOwnDemand(message: ModelDemandMessage): void;
+}
+
 /** @internal */
 export class PlannerLink {
   private client: MeshClient | undefined;
@@ -24,8 +32,7 @@
     private readonly guard: HelloGuard,
     private readonly log: Logger,
     private readonly faults: CounterFamily<LinkFault>,
-    private readonly takeDemand: () => ModelDemandMessage,
-    private readonly onOwnDemand: (message: ModelDemandMessage) => void,
+    private readonly events: PlannerLinkEvents,
   ) {
     this.disposer.interval(REPORT_INTERVAL_MS, () => this.report());
   }
@@ -68,8 +75,8 @@
     const own = this.isOwnRole;
     const link = this.client?.link;
     if (!own && link === undefined) return;
-    const demand = this.takeDemand();
-    if (own) this.onOwnDemand(demand);
+    const demand = this.events.takeDemand();
+    if (own) this.events.onOwnDemand(demand);
     else link?.send(demand);
   }
 
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -1,27 +1,118 @@
-/** Where the planner's role is kept, and who holds it. */
-import {checkHostPort, type HostPort} from '@jasminepost/core';
+/** The planner's role: its lease, the planning while it is held, and the way to its holder. */
+import {
+  checkHostPort,
+  type Clock,
+  type CounterFamily,
+  type HostPort,
+  type Logger,
+} from '@jasminepost/core';
+import {TermLease, type KeyValueStore} from '@jasminepost/key_value';
+import {
+  MeshServer,
+  type HelloGuard,
+  type LinkFault,
+  type MemberInfo,
+  type ModelDemandMessage,
+} from '@jasminepost/mesh';
 import type {StoreChange} from '@jasminepost/platform';
+import {PlannerDesk, type PlannerContext} from './planner_desk.ts';
+import {PlannerLink} from './planner_link.ts';
 
-/** Prefix of the role's keys. @internal */
-export const PLANNER_KEY = 'planner';
+/** Prefix of the role's keys. */
+const PLANNER_KEY = 'planner';
 const HOLDER_KEY = `${PLANNER_KEY}/holder`;
+/** Term of the lease: a lost planner is replaced after this. */
+const LEASE_MS = 2000;
+/** Looks at the role while it is free, and while the feed shows a holder. */
+const FREE_LOOK_MS = 300;
+const HELD_LOOK_MS = 8000;
 
-/**
- * Reads who holds the role from a change in the store.
- *
- * @returns Undefined when the change is of another key; no address when nobody holds the role.
- * @internal
- */
-export function holderAddress(
-  change: StoreChange,
-): {readonly address: HostPort | undefined} | undefined {
-  if (change.key !== HOLDER_KEY) return undefined;
-  if (change.value === undefined) return {address: undefined};
+/** @internal */
+export interface PlannerRoleContext extends Omit<PlannerContext, 'lease' | 'heldByOther'> {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly store: KeyValueStore;
+  readonly minLeaseMs: number;
+  readonly self: MemberInfo;
+  /** Where the other gateways reach this one. */
+  readonly address: HostPort;
+  readonly guard: HelloGuard;
+  readonly faults: CounterFamily<LinkFault>;
+  takeDemand(): ModelDemandMessage;
+}
+
+/** @internal */
+export class PlannerRole {
+  private readonly lease: TermLease;
+  private readonly desk: PlannerDesk;
+  private readonly link: PlannerLink;
+  private readonly mesh: MeshServer;
+  private holderKnown = false;
+
+  constructor(private readonly ctx: PlannerRoleContext) {
+    const {address, clock, faults, guard, log, self} = ctx;
+    this.lease = new TermLease(
+      ctx.store,
+      PLANNER_KEY,
+      `${address.host}:${address.port}`,
+      Math.max(LEASE_MS, ctx.minLeaseMs),
+      clock,
+      log,
+      () => (this.holderKnown ? HELD_LOOK_MS : FREE_LOOK_MS),
+    );
+    this.desk = new PlannerDesk({
+      ...ctx,
+      lease: this.lease,
+      heldByOther: () => this.holderKnown && !this.link.isOwnRole,
+    });
+    this.link = new PlannerLink(self, address, guard, log, faults, {
+      takeDemand: () => ctx.takeDemand(),
+      onOwnDemand: message => this.desk.takeDemand(self.id, message),
+    });
+    this.mesh = new MeshServer(
+      self,
+      guard,
+      {
+        onLink: () => undefined,
+        onMessage: (link, message) => {
+          if (message.type === 'model_demand') this.desk.takeDemand(link.peer?.id ?? '', message);
+        },
+        onLinkLost: () => undefined,
+      },
+      faults,
+    );
+  }
+
+  async start(): Promise<void> {
+    this.lease.start();
+    await this.mesh.listen(this.ctx.address);
+  }
+
+  /** Takes in a change in the store that may tell who holds the role. */
+  takeChange(change: StoreChange): void {
+    if (change.key !== HOLDER_KEY) return;
+    const address = holderAddress(change.value);
+    this.holderKnown = address !== undefined;
+    this.link.setHolder(address);
+    if (!this.holderKnown) this.lease.lookSoon();
+  }
+
+  dispose(): void {
+    this.lease.dispose();
+    this.desk.dispose();
+    this.link.dispose();
+    this.mesh.close();
+  }
+}
+
+/** Address in the role's record; undefined when nobody holds the role. */
+function holderAddress(value: string | undefined): HostPort | undefined {
+  if (value === undefined) return undefined;
   try {
-    const {holder} = JSON.parse(change.value) as {readonly holder: string};
-    return {address: checkHostPort(HOLDER_KEY, holder)};
+    const {holder} = JSON.parse(value) as {readonly holder: string};
+    return checkHostPort(HOLDER_KEY, holder);
   } catch {
     // Another writer's value names no planner; the next holder replaces it.
-    return {address: undefined};
+    return undefined;
   }
 }
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -20,6 +20,8 @@
 /** @internal */
 export class ReplicaTable {
   readonly replicas = new Map<string, Replica>();
+  /** True once all entries have been read. */
+  wasRead = false;
   private readonly malformed = new Set<string>();
   /** Keys that were missing after an outage, until the grace ends. */
   private readonly missing = new Set<string>();
@@ -46,6 +48,7 @@
       }
     }
     for (const change of changes) this.applyChange(change, afterOutage);
+    this.wasRead = true;
   }
 
   applyChange(change: StoreChange, afterOutage: boolean): void {
@@ -63,6 +66,13 @@
     }
   }
 
+  /** Gateways linked to the same stewards, as these count them. */
+  gateways(): number {
+    let most = 0;
+    for (const {gateways} of this.replicas.values()) most = Math.max(most, gateways);
+    return most;
+  }
+
   /** Usable replicas of a service. */
   ofService(service: string): Replica[] {
     const found: Replica[] = [];
--- a/apps/gateway/src/lib/steward_links.ts
+++ b/apps/gateway/src/lib/steward_links.ts
@@ -23,27 +23,34 @@
   readonly wishes: Map<string, number>;
 }
 
+/** @internal */
+export interface StewardLinksContext {
+  readonly self: MemberInfo;
+  readonly guard: HelloGuard;
+  /** Port of the mesh on every machine. */
+  readonly port: number;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly faults: CounterFamily<LinkFault>;
+  isEngine(service: string): boolean;
+  /** What may be chosen has changed. */
+  onChanged(): void;
+}
+
 /** @internal */
 export class StewardLinks {
   private readonly byHost = new Map<string, StewardLink>();
   private readonly disposer = new Disposer();
 
-  constructor(
-    private readonly self: MemberInfo,
-    private readonly guard: HelloGuard,
-    private readonly port: number,
-    private readonly clock: Clock,
-    private readonly log: Logger,
-    private readonly faults: CounterFamily<LinkFault>,
-    private readonly onChanged: () => void,
-  ) {
+  constructor(private readonly ctx: StewardLinksContext) {
     this.disposer.interval(LIVENESS_CHECK_MS, () => this.checkLiveness());
   }
 
-  /** Opens the link to the steward beside a replica, unless there is one. */
-  add(replica: Replica): void {
-    const {host} = replica.entry.address;
-    const link = this.byHost.get(host) ?? this.open(host);
+  /** Opens the link to the steward beside a model replica, unless there is one. */
+  addEngine(replica: Replica): void {
+    const {address, service} = replica.entry;
+    if (!this.ctx.isEngine(service)) return;
+    const link = this.byHost.get(address.host) ?? this.open(address.host);
     link.replicas.add(replica);
     this.identify(link, replica);
   }
@@ -72,7 +79,7 @@
     const link = this.byHost.get(replica.entry.address.host);
     if (link === undefined) return;
     const key = `${model}/${adapter}`;
-    const nowMs = this.clock.monotonicMs();
+    const nowMs = this.ctx.clock.monotonicMs();
     if (nowMs - (link.wishes.get(key) ?? Number.NEGATIVE_INFINITY) < WISH_INTERVAL_MS) return;
     link.wishes.set(key, nowMs);
     link.client.link?.send({type: 'adapter_wish', model, adapter});
@@ -91,19 +98,19 @@
 
   private open(host: string): StewardLink {
     const client: MeshClient = new MeshClient(
-      {host, port: this.port},
-      this.self,
-      this.guard,
+      {host, port: this.ctx.port},
+      this.ctx.self,
+      this.ctx.guard,
       {
         onUp: () => {
-          this.log.info('steward linked', {host});
+          this.ctx.log.info('steward linked', {host});
           for (const replica of link.replicas) this.identify(link, replica);
         },
         onMessage: (_client, message) => this.receive(link, message),
         onDown: (_client, fault) => this.lose(host, link, fault),
         isAwaiting: () => false,
       },
-      this.faults,
+      this.ctx.faults,
     );
     const link: StewardLink = {client, replicas: new Set(), wishes: new Map()};
     this.byHost.set(host, link);
@@ -119,23 +126,23 @@
     switch (message.type) {
       case 'engine_state':
         for (const replica of link.replicas) replica.state = message;
-        this.onChanged();
+        this.ctx.onChanged();
         return;
       case 'engine_load':
         link.client.silenceLimitMs = Math.max(MIN_SILENCE_MS, MISSED_LOADS * message.nextMs);
-        for (const replica of link.replicas) replica.onLoad(message, this.clock.monotonicMs());
-        this.onChanged();
+        for (const replica of link.replicas) replica.onLoad(message, this.ctx.clock.monotonicMs());
+        this.ctx.onChanged();
         return;
       default:
-        this.log.warn('message of this type is not for a gateway', {type: message.type});
+        this.ctx.log.warn('message of this type is not for a gateway', {type: message.type});
     }
   }
 
   private lose(host: string, link: StewardLink, fault: LinkFault): void {
-    this.log.warn('steward lost', {host, fault});
+    this.ctx.log.warn('steward lost', {host, fault});
     for (const replica of link.replicas) replica.state = undefined;
     link.wishes.clear();
-    this.onChanged();
+    this.ctx.onChanged();
   }
 
   private checkLiveness(): void {
--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -123,11 +123,7 @@
   watch.start();
   prepare.start(Math.random() * PREPARE_RETRY_MS);
   const admin = new AdminServer(registry, {notReadyReason: () => undefined, status: () => ({})});
-  try {
-    await admin.listen({host: own.ip, port: settings.metricsPort});
-  } catch (thrown) {
-    log.error('metrics address not available', {error: messageOf(thrown)});
-  }
+  await admin.tryListen({host: own.ip, port: settings.metricsPort}, log);
   log.info('started', {zone: own.zone, service: own.service, replica: settings.replica.host});
 
   process.on('SIGHUP', () =>
--- a/packages/core/src/lib/admin_server.ts
+++ b/packages/core/src/lib/admin_server.ts
@@ -1,5 +1,7 @@
 /** Health, readiness and metrics endpoints, the same on every program. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {messageOf} from './errors.ts';
+import type {Logger} from './logger.ts';
 import type {HostPort} from './settings.ts';
 import type {MetricRegistry} from './metrics.ts';
 
@@ -29,6 +31,15 @@
     });
   }
 
+  /** Listens if the address is free, and logs when it is not. */
+  async tryListen(address: HostPort, log: Logger): Promise<void> {
+    try {
+      await this.listen(address);
+    } catch (thrown) {
+      log.error('metrics address not available', {...address, error: messageOf(thrown)});
+    }
+  }
+
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
