--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -24,6 +24,8 @@
 const RETURN_SPREAD_MS = 250;
 /** Another gateway takes a caller at once. */
 const LEAVING_RETURN_MS = 50;
+/** A configuration with the model may be on its way. */
+const UNKNOWN_RETURN_MS = 1000;
 /** Least time that a refused caller is asked to stay away. */
 const MIN_RETURN_MS = 80;
 
@@ -75,7 +77,7 @@
     const {ctx} = this;
     const spec = ctx.engineOf(member.service)?.models.get(member.generation.model);
     if (spec === undefined) {
-      member.refuse('unknown_model', 1000, {model: member.generation.model});
+      member.refuse('unknown_model', UNKNOWN_RETURN_MS, {model: member.generation.model});
       return;
     }
     ctx.demand.count(member.service, member.generation, member.patient);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -43,7 +43,6 @@
 export {chargedMb, chooseAdapterVictim} from './lib/engine_memory.ts';
 export {
   planEngines,
-  wantedCopies,
   type EngineMove,
   type PlanInput,
   type PlanModel,
