Keep order numbers growing when an earlier reservation is answered late

Ruled out: a lost record in the store. Reservations only grow now, and a placement wakes the preparation instead of starting another.

--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -90,7 +90,7 @@
         return;
       case 'placement':
         desk.place(message);
-        if (message.load !== '' && spec?.models.has(message.load) !== true) prepare.start(0);
+        if (message.load !== '' && spec?.models.has(message.load) !== true) prepare.wake();
         return;
       case 'replica_identity':
         identity = {id: message.id, bornMs: message.bornMs};
--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -49,3 +49,7 @@
   Scenario: a planner that has been replaced
     When a steward gets a placement of term 2 and then one of term 1
     Then only the placement of term 2 is carried out
+
+  Scenario: two reservations of order numbers, the first answered last
+    When a steward reserves order numbers twice while the store answers the first write late
+    Then no number is smaller than one taken before
--- a/features/steps/engine_policy_steps.ts
+++ b/features/steps/engine_policy_steps.ts
@@ -22,6 +22,7 @@
 const outcomes = new WeakMap<FleetWorld, {with: ReplayOutcome; without: ReplayOutcome}>();
 const repeats = new WeakMap<FleetWorld, ReadonlyArray<{atMs: number; repeat: boolean}>>();
 const loaded = new WeakMap<FleetWorld, string[]>();
+const fences = new WeakMap<FleetWorld, number[]>();
 const histories = new WeakMap<FleetWorld, OrderHistory>();
 
 Given(
@@ -210,3 +211,15 @@
 Then('only the placement of term 2 is carried out', function (this: FleetWorld) {
   assert.deepEqual(loaded.get(this), ['m2']);
 });
+
+When(
+  'a steward reserves order numbers twice while the store answers the first write late',
+  async function (this: FleetWorld) {
+    fences.set(this, await reserveTwice());
+  },
+);
+
+Then('no number is smaller than one taken before', function (this: FleetWorld) {
+  const taken = fences.get(this)!;
+  for (let i = 1; i < taken.length; i++) assert.ok(taken[i] > taken[i - 1], taken.join(' '));
+});
--- a/features/support/order_history.ts
+++ b/features/support/order_history.ts
@@ -135,6 +135,21 @@
   return [...engine.models.keys()].filter(model => model !== 'm0' && model !== 'm1');
 }
 
+/** Takes numbers after two overlapping reservations, of which the first is answered last. */
+export async function reserveTwice(): Promise<number[]> {
+  const store = new OneValueStore();
+  const fence = new FenceCounter(store, 'replica');
+  store.answerMs = LATE_MS;
+  const first = fence.reserve();
+  await sleep(LATE_MS / 4);
+  store.answerMs = 0;
+  await fence.reserve();
+  const taken = [fence.take()];
+  await first;
+  taken.push(fence.take());
+  return taken;
+}
+
 async function deskOf(
   engine: FakeEngine,
   history: OrderHistory,
@@ -201,16 +216,19 @@
 
 /** Holds the fence's one key. */
 class OneValueStore implements KeyValueStore {
+  /** Time that the answer to a write takes; the write itself is done at once. */
+  answerMs = 0;
   private entry: {key: string; value: string; version: number} | null = null;
 
   get(): Promise<typeof this.entry> {
     return Promise.resolve(this.entry);
   }
 
-  write(key: string, value: string): Promise<{kind: 'written'; version: number}> {
+  async write(key: string, value: string): Promise<{kind: 'written'; version: number}> {
     const version = (this.entry?.version ?? 0) + 1;
     this.entry = {key, value, version};
-    return Promise.resolve({kind: 'written', version});
+    await sleep(this.answerMs);
+    return {kind: 'written', version};
   }
 
   createLease(): Promise<string> {
--- a/packages/key_value/src/lib/fence_counter.ts
+++ b/packages/key_value/src/lib/fence_counter.ts
@@ -24,7 +24,8 @@
     const entry = await this.kv.get(this.key());
     const epoch = (entry === null ? 0 : Number(entry.value)) + 1;
     const outcome = await this.kv.write(this.key(), String(epoch), entry?.version ?? 0);
-    if (outcome.kind === 'conflict') return;
+    // A reservation that was answered late must not bring smaller numbers back.
+    if (outcome.kind === 'conflict' || epoch <= this.epoch) return;
     this.epoch = epoch;
     this.next = epoch * ORDERS_PER_START;
   }
