--- a/features/steps/engine_policy_steps.ts
+++ b/features/steps/engine_policy_steps.ts
@@ -5,6 +5,7 @@
 import {SeededRandom} from '../../bench/random.ts';
 import {
   placeInTerms,
+  reserveTwice,
   runOrderHistory,
   type OrderHistory,
   type OrderFault,
