Call what the project already had, and drop state that says nothing

Found by reading the whole change again. The gateway read bodies and watched for callers that leave with code of its own: it now calls readBody and whenGone of packages/caller. Five servers waited to listen in the same way: listenOn in core. OrderDesk slept by itself: core's sleep. Dropped: Replica.listed (a replica leaves the table when it is no longer listed), the demand message's interval (nobody read it), the second copy of the grace after an outage, a parameter nobody used, copies counted for an empty line.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -1,5 +1,6 @@
 /** One caller's request from its head to its final answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {whenGone} from '@jasminepost/caller';
 import {mayHaveRun, messageOf, notRun, type Verdict} from '@jasminepost/core';
 import {
   retryAfterHeader,
@@ -89,7 +90,7 @@
   start(): void {
     const {clock} = this.ctx;
     this.timer = setTimeout(() => this.onDeadline(), this.deadlineMs - clock.monotonicMs());
-    this.res.on('close', () => this.onCallerGone());
+    whenGone(this.res, () => this.onCallerGone());
     this.ctx.retryBudget(this.service).countFirst(clock.monotonicMs());
     this.next();
   }
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -1,8 +1,9 @@
 /** HTTP towards callers: routes, limits, and requests in progress. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {messageOf, type HostPort} from '@jasminepost/core';
+import {readBody} from '@jasminepost/caller';
+import {exhaustive, listenOn, messageOf, type HostPort} from '@jasminepost/core';
 import {readCallerHead} from '@jasminepost/platform';
-import type {CallerLimits, RouteTable} from '@jasminepost/serving';
+import type {RouteTable} from '@jasminepost/serving';
 import {sendOwnAnswer} from './answer_relay.ts';
 import {CallerRequest} from './caller_request.ts';
 import type {GatewayContext} from './gateway_context.ts';
@@ -31,10 +32,7 @@
   }
 
   async listen(address: HostPort): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({port: address.port, host: address.host, backlog: BACKLOG}, resolve);
-    });
+    await listenOn(this.server, address, BACKLOG);
   }
 
   /** Puts a configuration into force for requests from now on. */
@@ -71,17 +69,34 @@
       return;
     }
     const {limits} = routes.config;
-    const fault = headFault(req, limits);
-    if (fault !== undefined) {
-      this.reject(req, res, fault, fault === 431 ? 'headers_too_large' : 'body_too_large');
+    if (headBytes(req) > limits.headerBytes) {
+      this.reject(req, res, 431, 'headers_too_large');
       return;
     }
+    void this.read(req, res, limits.bodyBytes, startedMs);
+  }
+
+  private async read(
+    req: IncomingMessage,
+    res: ServerResponse,
+    maxBytes: number,
+    startedMs: number,
+  ): Promise<void> {
     this.reading += 1;
-    readBody(req, limits.bodyBytes, (body, tooLarge) => {
-      this.reading -= 1;
-      if (tooLarge) this.reject(req, res, 413, 'body_too_large');
-      else if (body !== undefined) this.begin(req, res, body, startedMs);
-    });
+    const body = await readBody(req, maxBytes);
+    this.reading -= 1;
+    switch (body.kind) {
+      case 'read':
+        this.begin(req, res, body.bytes, startedMs);
+        return;
+      case 'too_large':
+        this.reject(req, res, 413, 'body_too_large');
+        return;
+      case 'caller_gone':
+        return;
+      default:
+        exhaustive(body);
+    }
   }
 
   private begin(req: IncomingMessage, res: ServerResponse, body: Buffer, startedMs: number): void {
@@ -126,32 +141,8 @@
   }
 }
 
-function headFault(req: IncomingMessage, limits: CallerLimits): 413 | 431 | undefined {
+function headBytes(req: IncomingMessage): number {
   let bytes = 0;
   for (const part of req.rawHeaders) bytes += part.length + 2;
-  if (bytes > limits.headerBytes) return 431;
-  return Number(req.headers['content-length'] ?? 0) > limits.bodyBytes ? 413 : undefined;
-}
-
-/** Reads a body; calls back with undefined when the caller left before its end. */
-function readBody(
-  req: IncomingMessage,
-  maxBytes: number,
-  done: (body: Buffer | undefined, tooLarge: boolean) => void,
-): void {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  let finished = false;
-  const finish = (body: Buffer | undefined, tooLarge: boolean) => {
-    if (finished) return;
-    finished = true;
-    done(body, tooLarge);
-  };
-  req.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > maxBytes) finish(undefined, true);
-    else chunks.push(chunk);
-  });
-  req.on('end', () => finish(Buffer.concat(chunks), false));
-  req.on('close', () => finish(undefined, false));
+  return bytes;
 }
--- a/apps/gateway/src/lib/demand_meter.ts
+++ b/apps/gateway/src/lib/demand_meter.ts
@@ -13,14 +13,8 @@
 /** @internal */
 export class DemandMeter {
   private counts = new Map<string, Count>();
-  private sinceMs: number;
 
-  constructor(
-    private readonly estimator: PrefillEstimator,
-    nowMs: number,
-  ) {
-    this.sinceMs = nowMs;
-  }
+  constructor(private readonly estimator: PrefillEstimator) {}
 
   /** Counts one request, whether it will be served or not. */
   count(service: string, generation: Generation, patient: boolean): void {
@@ -37,7 +31,7 @@
    *
    * @param waitingFor - Requests of `service/model` that wait now.
    */
-  take(nowMs: number, waitingFor: (key: string) => number): ModelDemandMessage {
+  take(waitingFor: (key: string) => number): ModelDemandMessage {
     const models = [...this.counts].map(([name, {requests, urgent, prefillMs}]) => ({
       name,
       requests,
@@ -45,9 +39,7 @@
       prefillMs: Math.round(prefillMs),
       waiting: waitingFor(name),
     }));
-    const intervalMs = Math.round(nowMs - this.sinceMs);
     this.counts = new Map();
-    this.sinceMs = nowMs;
-    return {type: 'model_demand', intervalMs, models};
+    return {type: 'model_demand', models};
   }
 }
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -137,21 +137,16 @@
         member.refuse('leaving', LEAVING_RETURN_MS, {});
         continue;
       }
-      if (waitingState(member, nowMs) === 'hopeless') {
-        this.members.delete(member);
-        member.refuse('waited_too_long', returnMs(this.workAheadOf(member).waitMs), {
-          waitedMs: Math.round(nowMs - member.arrivedMs),
-        });
-        continue;
-      }
       const model = `${member.service}/${member.generation.model}`;
       const key = `${model}/${member.generation.adapter}`;
-      if (full.has(model) && waitingState(member, nowMs) === 'late') {
+      const state = waitingState(member, nowMs);
+      if (state === 'hopeless') {
+        this.turnAway(member, 'waited_too_long', nowMs);
+        continue;
+      }
+      if (state === 'late' && full.has(model)) {
         // Those that can still be on time take all there is.
-        this.members.delete(member);
-        member.refuse('overloaded', returnMs(this.workAheadOf(member).waitMs), {
-          waitedMs: Math.round(nowMs - member.arrivedMs),
-        });
+        this.turnAway(member, 'overloaded', nowMs);
         continue;
       }
       if (full.has(key)) continue;
@@ -170,6 +165,12 @@
     }
   }
 
+  private turnAway(member: LineMember, reason: string, nowMs: number): void {
+    this.members.delete(member);
+    const waitedMs = Math.round(nowMs - member.arrivedMs);
+    member.refuse(reason, returnMs(this.workAheadOf(member).waitMs), {waitedMs});
+  }
+
   private place(member: LineMember): Placing {
     const {ctx} = this;
     const {service, generation} = member;
@@ -241,6 +242,7 @@
       members += 1;
       workMs += this.ctx.estimator.estimateMs(generation.model, other.generation.tokensIn);
     }
+    if (members === 0) return {members, waitMs: 0};
     const copies = this.ctx.table.holders(service, generation.model).length;
     return {members, waitMs: workMs / Math.max(1, copies)};
   }
--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -6,6 +6,7 @@
   type StoreChange,
   type StoreClient,
 } from '@jasminepost/platform';
+import {RETURN_GRACE_MS} from './replica_table.ts';
 
 /** A watch that the store lost is found after this and the client's grace. */
 const WATCH_MS = 2500;
@@ -13,8 +14,6 @@
 const GATHER_MS = 120;
 const RETRY_BASE_MS = 150;
 const RETRY_CAP_MS = 900;
-/** Entries that lapsed in an outage come back within this time after it. */
-const SETTLE_MS = 2000;
 
 /** @internal */
 export interface FleetFeedEvents {
@@ -113,7 +112,7 @@
     if (this.connected) return;
     this.connected = true;
     // The first contact has nothing before it that could have lapsed.
-    if (this.everConnected) this.settledMs = performance.now() + SETTLE_MS;
+    if (this.everConnected) this.settledMs = performance.now() + RETURN_GRACE_MS;
     this.everConnected = true;
     this.log.info('store reached', {failures: this.failures, revision: this.revision});
     this.failures = 0;
--- a/apps/gateway/src/lib/planner_desk.ts
+++ b/apps/gateway/src/lib/planner_desk.ts
@@ -46,7 +46,7 @@
   replicasOf(service: string): readonly Replica[];
   isLinked(replica: Replica): boolean;
   place(replica: Replica, message: PlacementMessage): boolean;
-  onMove(service: string, move: EngineMove): void;
+  onMove(move: EngineMove): void;
 }
 
 interface Pending {
@@ -179,7 +179,7 @@
     this.pending.set(replica.id, {load: move.load, untilMs: nowMs + PENDING_MS});
     this.placedMs.set(`${replica.id}/${move.load}`, nowMs);
     if (fromStore) this.storeLoads.push(nowMs);
-    this.ctx.onMove(service, move);
+    this.ctx.onMove(move);
     const demand = this.book.read(`${service}/${move.load}`, nowMs);
     this.ctx.log.info('placement', {
       ...move,
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -1,11 +1,5 @@
 /** The planner's role: its lease, the planning while it is held, and the way to its holder. */
-import {
-  checkHostPort,
-  type Clock,
-  type CounterFamily,
-  type HostPort,
-  type Logger,
-} from '@jasminepost/core';
+import {checkHostPort, type CounterFamily, type HostPort} from '@jasminepost/core';
 import {TermLease, type KeyValueStore} from '@jasminepost/key_value';
 import {
   MeshServer,
@@ -29,8 +23,6 @@
 
 /** @internal */
 export interface PlannerRoleContext extends Omit<PlannerContext, 'lease' | 'heldByOther'> {
-  readonly clock: Clock;
-  readonly log: Logger;
   readonly store: KeyValueStore;
   readonly minLeaseMs: number;
   readonly self: MemberInfo;
--- a/apps/gateway/src/lib/readiness_server.ts
+++ b/apps/gateway/src/lib/readiness_server.ts
@@ -1,6 +1,6 @@
 /** Answers the platform's question whether this gateway takes new connections. */
 import {createServer} from 'node:http';
-import type {Disposable, HostPort} from '@jasminepost/core';
+import {listenOn, type Disposable, type HostPort} from '@jasminepost/core';
 
 /**
  * Serves 200 while `notReadyReason` is undefined, otherwise 503 with the reason.
@@ -18,10 +18,7 @@
     res.writeHead(reason === undefined ? 200 : 503, {'content-type': 'text/plain'});
     res.end(reason ?? 'ready');
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.host, resolve);
-  });
+  await listenOn(server, address);
   return {
     dispose: () => {
       server.close();
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -27,8 +27,6 @@
   kvTokens = 0;
   serviceMs = INITIAL_SERVICE_MS;
   prefillMs = INITIAL_PREFILL_MS;
-  /** False once the platform no longer lists it; requests in progress go on. */
-  listed = true;
   /** True when another replica has its address now. */
   displaced = false;
 
@@ -52,7 +50,7 @@
 
   /** True when new requests may go there. */
   get usable(): boolean {
-    return this.listed && !this.entry.leaving && !this.displaced && !this.isDown();
+    return !this.entry.leaving && !this.displaced && !this.isDown();
   }
 
   /** What it holds: its steward's word if that is of the same incarnation, else its entry's. */
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -4,8 +4,8 @@
 import type {ReplicaEntry, Service} from '@jasminepost/serving';
 import {Replica} from './replica.ts';
 
-/** Entries that lapsed in an outage of the store are back this long after its return. */
-const RETURN_GRACE_MS = 2000;
+/** Entries that lapsed in an outage of the store are back this long after its return. @internal */
+export const RETURN_GRACE_MS = 2000;
 /** Longest time that a replica which has left keeps its connections for requests in progress. */
 const LINGER_MS = 30_000;
 
@@ -43,9 +43,8 @@
   applySnapshot(changes: readonly StoreChange[], afterOutage: boolean): void {
     const present = new Set(changes.map(change => change.key));
     for (const replica of [...this.replicas.values()]) {
-      if (replica.listed && !present.has(keyOf(replica))) {
-        this.remove(keyOf(replica), afterOutage);
-      }
+      const {key} = replica.entry;
+      if (!present.has(key)) this.remove(key, afterOutage);
     }
     for (const change of changes) this.applyChange(change, afterOutage);
     this.wasRead = true;
@@ -97,7 +96,6 @@
     if (known !== undefined && sameInstance(known.entry, entry)) {
       this.logState(known.entry, entry);
       known.entry = entry;
-      known.listed = true;
       this.events.onChanged();
       return;
     }
@@ -146,8 +144,8 @@
 
   private remove(key: string, afterOutage: boolean): void {
     this.malformed.delete(key);
-    const replica = [...this.replicas.values()].find(found => keyOf(found) === key);
-    if (replica === undefined || !replica.listed) return;
+    const replica = [...this.replicas.values()].find(found => found.entry.key === key);
+    if (replica === undefined) return;
     if (!afterOutage) {
       this.drop(replica, 'entry removed');
       return;
@@ -165,7 +163,6 @@
   }
 
   private drop(replica: Replica, reason: string): void {
-    replica.listed = false;
     this.replicas.delete(replica.id);
     this.log.info('replica gone', {replica: replica.id, reason, inFlight: replica.inFlight});
     const untilMs = this.clock.monotonicMs() + LINGER_MS;
@@ -180,10 +177,6 @@
   }
 }
 
-function keyOf(replica: Replica): string {
-  return replica.entry.key;
-}
-
 function sameInstance(a: ReplicaEntry, b: ReplicaEntry): boolean {
   return a.bornMs === b.bornMs && a.service === b.service && sameAddress(a, b);
 }
--- a/apps/gateway/src/settings.ts
+++ b/apps/gateway/src/settings.ts
@@ -1,15 +1,12 @@
-/** Settings of a gateway: those of the platform's file, and flags of its own. */
+/** Settings of a gateway. */
 import {checkDuration} from '@jasminepost/core';
-import {readProcessSettings, type ProcessSettings} from '@jasminepost/platform';
+import {checkProgramSettings, PROGRAM_SETTINGS, type ProgramSettings} from '@jasminepost/platform';
 
-const MAX_PORT = 65_535;
+const MAX_CROSS_ZONE_MS = 10_000;
 
 /** @internal */
 export const GATEWAY_SETTINGS = {
-  config: {flag: 'config', help: 'Settings file that the platform writes'},
-  meshKey: {flag: 'mesh-key', help: 'Key shared by all processes', secret: true},
-  metricsPort: {flag: 'metrics-port', help: 'Port of the metrics page', fallback: '9464'},
-  logLevel: {flag: 'log-level', help: 'error, warn, info or debug', fallback: 'info'},
+  ...PROGRAM_SETTINGS,
   crossZoneMs: {
     flag: 'cross-zone-ms',
     help: 'Round trip to another availability zone',
@@ -18,12 +15,7 @@
 } as const;
 
 /** @internal */
-export interface GatewaySettings {
-  readonly process: ProcessSettings;
-  readonly configPath: string;
-  readonly meshKey: string;
-  readonly metricsPort: number;
-  readonly logLevel: string;
+export interface GatewaySettings extends ProgramSettings {
   readonly crossZoneMs: number;
 }
 
@@ -37,11 +29,7 @@
   raw: Readonly<Record<keyof typeof GATEWAY_SETTINGS, string>>,
 ): GatewaySettings {
   return {
-    process: readProcessSettings(raw.config),
-    configPath: raw.config,
-    meshKey: raw.meshKey,
-    metricsPort: checkDuration('metrics-port', raw.metricsPort, 1, MAX_PORT),
-    logLevel: raw.logLevel,
-    crossZoneMs: checkDuration('cross-zone-ms', raw.crossZoneMs, 0, 10_000),
+    ...checkProgramSettings(raw),
+    crossZoneMs: checkDuration('cross-zone-ms', raw.crossZoneMs, 0, MAX_CROSS_ZONE_MS),
   };
 }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -66,7 +66,7 @@
     onChanged: () => line.wake(),
   });
   const estimator = new PrefillEstimator();
-  const demand = new DemandMeter(estimator, clock.monotonicMs());
+  const demand = new DemandMeter(estimator);
   const line: EngineLine = new EngineLine({
     clock,
     zone: own.zone,
@@ -117,8 +117,8 @@
     replicasOf: service => table.ofService(service),
     isLinked: replica => links.isLinked(replica),
     place: (replica, message) => links.place(replica, message),
-    onMove: (_service, move) => metrics.placements.increment(move.source),
-    takeDemand: () => demand.take(clock.monotonicMs(), key => line.waitingFor(key)),
+    onMove: move => metrics.placements.increment(move.source),
+    takeDemand: () => demand.take(key => line.waitingFor(key)),
   });
   const feed = new FleetFeed(store, log, {
     onConfig: (text, revision) => config.take(text, revision),
--- a/apps/steward/src/lib/order_desk.ts
+++ b/apps/steward/src/lib/order_desk.ts
@@ -1,5 +1,5 @@
 /** Gives orders to one replica, one after the other, and never more than it can hold. */
-import type {Clock, CounterFamily, Logger} from '@jasminepost/core';
+import {sleep, type Clock, type CounterFamily, type Logger} from '@jasminepost/core';
 import type {FenceCounter} from '@jasminepost/key_value';
 import type {PlacementMessage} from '@jasminepost/mesh';
 import {chooseAdapterVictim, chargedMb} from '@jasminepost/policy';
@@ -216,7 +216,7 @@
     const outcome = await ctx.order(order);
     ctx.orders.increment(outcome.kind);
     ctx.log.info('order', {...order, outcome: outcome.kind, ...detailOf(outcome)});
-    if (outcome.kind === 'refused') await this.pause(REFUSED_PAUSE_MS);
+    if (outcome.kind === 'refused') await sleep(REFUSED_PAUSE_MS);
     return outcome;
   }
 
@@ -225,7 +225,7 @@
     for (let i = 0; i < MAX_ADAPTER_POLLS; i++) {
       const report = await this.ctx.refresh();
       if (report === undefined || !report.incoming.includes(key)) return;
-      await this.pause(POLL_MS);
+      await sleep(POLL_MS);
     }
   }
 
@@ -241,8 +241,9 @@
     }
   }
 
+  /** True, so that the next step follows the pause. */
   private async pause(delayMs: number): Promise<boolean> {
-    await new Promise(resolve => setTimeout(resolve, delayMs));
+    await sleep(delayMs);
     return true;
   }
 }
--- a/packages/caller/src/lib/body_reader.ts
+++ b/packages/caller/src/lib/body_reader.ts
@@ -1,7 +1,7 @@
 /** Reads a request body up to a limit. */
 import type {IncomingMessage} from 'node:http';
 
-/** @internal */
+/** @public */
 export type BodyOutcome =
   | {readonly kind: 'read'; readonly bytes: Buffer}
   | {readonly kind: 'too_large'}
@@ -14,7 +14,7 @@
  * Reads a body. One over the limit is still taken from the socket, since closing a connection
  * with unread bytes could destroy the refusal before the caller has read it.
  *
- * @internal
+ * @public
  */
 export function readBody(req: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
   return new Promise(resolve => {
--- a/packages/caller/src/lib/http_front.ts
+++ b/packages/caller/src/lib/http_front.ts
@@ -1,7 +1,7 @@
 /** HTTP towards callers: routes, authentication, checks and limits. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import findMyWay from 'find-my-way';
-import {fnv1a32, newId, sha256Hex, type HostPort} from '@jasminepost/core';
+import {fnv1a32, listenOn, newId, sha256Hex, type HostPort} from '@jasminepost/core';
 import type {RequestClass} from '@jasminepost/core';
 import type {AnswerSink, CallerCall} from './answer_sink.ts';
 import {parseCompletion} from './completion_request.ts';
@@ -89,10 +89,7 @@
   }
 
   async listen(address: HostPort): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(address.port, address.host, resolve);
-    });
+    await listenOn(this.server, address);
   }
 
   /** Asks callers to come back on a new connection, which the balancer sends elsewhere. */
--- a/packages/caller/src/lib/response_writer.ts
+++ b/packages/caller/src/lib/response_writer.ts
@@ -31,7 +31,7 @@
   res.end(failureBody(failure, requestId));
 }
 
-/** Calls `listener` when the caller goes away before the answer has ended. @internal */
+/** Calls `listener` when the caller goes away before the answer has ended. @public */
 export function whenGone(res: ServerResponse, listener: () => void): void {
   res.on('close', () => {
     if (!res.writableFinished) listener();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,3 +40,4 @@
 } from './lib/verdict.ts';
 export type {RequestClass, UpstreamKind} from './lib/vocabulary.ts';
 export {resetNow} from './lib/reset_now.ts';
+export {listenOn} from './lib/listen_on.ts';
--- a/packages/core/src/lib/admin_server.ts
+++ b/packages/core/src/lib/admin_server.ts
@@ -1,6 +1,7 @@
 /** Health, readiness and metrics endpoints, the same on every program. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {messageOf} from './errors.ts';
+import {listenOn} from './listen_on.ts';
 import type {Logger} from './logger.ts';
 import type {HostPort} from './settings.ts';
 import type {MetricRegistry} from './metrics.ts';
@@ -25,10 +26,7 @@
   }
 
   async listen(address: HostPort): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(address.port, address.host, resolve);
-    });
+    await listenOn(this.server, address);
   }
 
   /** Listens if the address is free, and logs when it is not. */
--- a/packages/mesh/src/lib/mesh_server.ts
+++ b/packages/mesh/src/lib/mesh_server.ts
@@ -1,6 +1,6 @@
 /** Accepts links from other processes and admits those that pass the handshake. */
 import {createServer, type Server, type Socket} from 'node:net';
-import type {CounterFamily, HostPort} from '@jasminepost/core';
+import {listenOn, type CounterFamily, type HostPort} from '@jasminepost/core';
 import {encodeFrame} from './frame_codec.ts';
 import type {HelloGuard} from './hello.ts';
 import {MeshLink, type LinkFault} from './mesh_link.ts';
@@ -33,10 +33,7 @@
   }
 
   async listen(address: HostPort): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(address.port, address.host, resolve);
-    });
+    await listenOn(this.server, address);
     const bound = this.server.address();
     return typeof bound === 'object' && bound !== null ? bound.port : address.port;
   }
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -222,7 +222,6 @@
 /** Demand for models that one gateway has seen since its last message to the planner. */
 const modelDemand = z.object({
   type: z.literal('model_demand'),
-  intervalMs: count,
   models: z
     .array(z.object({name, requests: count, urgent: count, prefillMs: count, waiting: count}))
     .max(4096),
--- a/packages/serving/src/lib/fleet_config.ts
+++ b/packages/serving/src/lib/fleet_config.ts
@@ -99,7 +99,7 @@
    * Route of the host with the longest prefix that begins the path.
    *
    * @example
-   * table.find('api.example', '/notes/7')?.service;
+   * table.find('api.example', '/notes/7')?.name;
    */
   find(host: string, path: string): Route | undefined {
     return this.byHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
