Tell the planner of requests that wait although no new ones came

Cause: the demand meter listed only models with new requests in the last 250 ms, so that the planner read 0 waiting for a model whose callers had all arrived before. Ruled out: the book's decay, which keeps the load but not the waiting count. A scenario tells the demand twice; the second reading was 0.

--- a/apps/gateway/src/lib/demand_meter.ts
+++ b/apps/gateway/src/lib/demand_meter.ts
@@ -10,6 +10,8 @@
   prefillMs: number;
 }
 
+const NOTHING_NEW: Readonly<Count> = {requests: 0, urgent: 0, prefillMs: 0};
+
 /** @internal */
 export class DemandMeter {
   private counts = new Map<string, Count>();
@@ -19,7 +21,7 @@
   /** Counts one request, whether it will be served or not. */
   count(service: string, generation: Generation, patient: boolean): void {
     const key = `${service}/${generation.model}`;
-    const count = this.counts.get(key) ?? {requests: 0, urgent: 0, prefillMs: 0};
+    const count = this.counts.get(key) ?? {...NOTHING_NEW};
     count.requests += 1;
     if (!patient) count.urgent += 1;
     count.prefillMs += this.estimator.estimateMs(generation.model, generation.tokensIn);
@@ -29,16 +31,21 @@
   /**
    * Takes what has been counted since the last call.
    *
-   * @param waitingFor - Requests of `service/model` that wait now.
+   * @param waiting - Requests that wait now, by `service/model`.
    */
-  take(waitingFor: (key: string) => number): ModelDemandMessage {
-    const models = [...this.counts].map(([name, {requests, urgent, prefillMs}]) => ({
-      name,
-      requests,
-      urgent,
-      prefillMs: Math.round(prefillMs),
-      waiting: waitingFor(name),
-    }));
+  take(waiting: ReadonlyMap<string, number>): ModelDemandMessage {
+    // Those that wait are told again although no new one has come.
+    const names = new Set([...this.counts.keys(), ...waiting.keys()]);
+    const models = [...names].map(name => {
+      const {requests, urgent, prefillMs} = this.counts.get(name) ?? NOTHING_NEW;
+      return {
+        name,
+        requests,
+        urgent,
+        prefillMs: Math.round(prefillMs),
+        waiting: waiting.get(name) ?? 0,
+      };
+    });
     this.counts = new Map();
     return {type: 'model_demand', models};
   }
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -104,13 +104,14 @@
     return this.members.delete(member);
   }
 
-  /** Requests that wait for a model, as `service/model`. */
-  waitingFor(key: string): number {
-    let count = 0;
+  /** Requests that wait, by `service/model`. */
+  waitingByModel(): Map<string, number> {
+    const counts = new Map<string, number>();
     for (const {service, generation} of this.members.keys()) {
-      if (`${service}/${generation.model}` === key) count += 1;
+      const key = `${service}/${generation.model}`;
+      counts.set(key, (counts.get(key) ?? 0) + 1);
     }
-    return count;
+    return counts;
   }
 
   /** Looks at the line once more after the current events have been handled. */
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -118,7 +118,7 @@
     isLinked: replica => links.isLinked(replica),
     place: (replica, message) => links.place(replica, message),
     onMove: move => metrics.placements.increment(move.source),
-    takeDemand: () => demand.take(key => line.waitingFor(key)),
+    takeDemand: () => demand.take(line.waitingByModel()),
   });
   const feed = new FleetFeed(store, log, {
     onConfig: (text, revision) => config.take(text, revision),
--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -53,3 +53,7 @@
   Scenario: two reservations of order numbers, the first answered last
     When a steward reserves order numbers twice while the store answers the first write late
     Then no number is smaller than one taken before
+
+  Scenario: requests that wait while no new ones come
+    When a gateway tells its demand twice while 3 requests wait and none is new
+    Then the planner reads 3 waiting requests after each
--- a/features/steps/engine_policy_steps.ts
+++ b/features/steps/engine_policy_steps.ts
@@ -2,6 +2,9 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {requestTimes, WindowBudget} from '@jasminepost/policy';
+import {DemandBook} from '../../apps/gateway/src/lib/demand_book.ts';
+import {DemandMeter} from '../../apps/gateway/src/lib/demand_meter.ts';
+import {PrefillEstimator} from '../../apps/gateway/src/lib/prefill_estimator.ts';
 import {SeededRandom} from '../../bench/random.ts';
 import {
   placeInTerms,
@@ -24,6 +27,7 @@
 const repeats = new WeakMap<FleetWorld, ReadonlyArray<{atMs: number; repeat: boolean}>>();
 const loaded = new WeakMap<FleetWorld, string[]>();
 const fences = new WeakMap<FleetWorld, number[]>();
+const waitingRead = new WeakMap<FleetWorld, number[]>();
 const histories = new WeakMap<FleetWorld, OrderHistory>();
 
 Given(
@@ -224,3 +228,23 @@
   const taken = fences.get(this)!;
   for (let i = 1; i < taken.length; i++) assert.ok(taken[i] > taken[i - 1], taken.join(' '));
 });
+
+When(
+  'a gateway tells its demand twice while {int} requests wait and none is new',
+  function (this: FleetWorld, waiting: number) {
+    const meter = new DemandMeter(new PrefillEstimator());
+    const book = new DemandBook();
+    const read = [0, 250].map(nowMs => {
+      book.take('gateway', meter.take(new Map([['drafts/m1', waiting]])), nowMs);
+      return book.read('drafts/m1', nowMs).waiting;
+    });
+    waitingRead.set(this, read);
+  },
+);
+
+Then(
+  'the planner reads {int} waiting requests after each',
+  function (this: FleetWorld, waiting: number) {
+    assert.deepEqual(waitingRead.get(this), [waiting, waiting]);
+  },
+);
