Keep a request that crashes replicas from reaching a third one

Cause: the gateway had no memory of crashes; six sends of one crashing order ended five replicas. A cut attempt now counts once its replica is known to have ended (steward's word, removed or replaced entry), and only if it was sent after the crash before: replicas that crash together tell nothing of the requests on them. Gateways tell each other by way of the planner; a request that has run to its end is cleared. Ruled out: counting cuts alone, since lost answers and resets look the same. Scenarios: both in users_platform.feature; the first failed before.

--- /dev/null
+++ b/apps/gateway/src/lib/answer_fault.ts
@@ -0,0 +1,20 @@
+/** Why a replica's answer must not reach the caller. */
+import type {ReplicaHead} from '@jasminepost/platform';
+
+/** Statuses that promise the caller that nothing has run. */
+const PROMISES: readonly number[] = [408, 429, 503];
+
+/**
+ * @param canRepeat - True when another replica may still be asked.
+ * @returns Undefined when the answer may be passed on.
+ * @example
+ * answerFault({status: 200, signed: false, ...head}, false); // 'unsigned answer'
+ * @internal
+ */
+export function answerFault(head: ReplicaHead, canRepeat: boolean): string | undefined {
+  const {status} = head;
+  if (status < 300 && !head.signed) return 'unsigned answer';
+  if (status >= 500 && canRepeat) return `status ${status}`;
+  // The replica itself has not stated that nothing ran.
+  return PROMISES.includes(status) ? `status ${status} without not-run` : undefined;
+}
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -10,7 +10,9 @@
 } from '@jasminepost/platform';
 import {decideRetry, requestTimes} from '@jasminepost/policy';
 import {backendFor, NO_GENERATION, type Generation, type Route} from '@jasminepost/serving';
+import {answerFault} from './answer_fault.ts';
 import {AnswerRelay, sendOwnAnswer} from './answer_relay.ts';
+import type {RepeatableRequest} from './crash_watch.ts';
 import type {GatewayContext} from './gateway_context.ts';
 import type {Ending} from './gateway_metrics.ts';
 import type {LineMember} from './engine_line.ts';
@@ -54,6 +56,7 @@
   private finished = false;
   private timer: NodeJS.Timeout | undefined;
   private readonly relay: AnswerRelay;
+  private readonly asSent: RepeatableRequest;
   private readonly canRepeat: boolean;
 
   constructor(
@@ -62,10 +65,11 @@
     private readonly res: ServerResponse,
     private readonly route: Route,
     private readonly head: CallerHead,
-    private readonly body: Buffer,
+    body: Buffer,
     startedMs: number,
   ) {
     this.arrivedMs = startedMs;
+    this.asSent = {method: req.method ?? 'GET', path: req.url ?? '/', body};
     this.service = backendFor(route, head.requestId);
     this.priority = route.priority;
     this.patient = route.targetLatencyMs >= PATIENT_TARGET_MS;
@@ -122,10 +126,8 @@
     const live = () => this.attempt === attempt && !this.finished;
     this.exchange = replica.channel.send(
       {
-        method: this.req.method ?? 'GET',
-        path: this.req.url ?? '/',
+        ...this.asSent,
         rawHeaders: this.req.rawHeaders,
-        body: this.body,
         fields: {
           deadlineMs: this.deadlineMs - nowMs,
           replicaId: replica.id,
@@ -143,6 +145,7 @@
         },
         onError: (error, neverSent) => {
           if (!live()) return;
+          if (!neverSent) this.ctx.crashes.onCut(this.asSent, replica, nowMs);
           const verdict = neverSent ? notRun('connect_failed') : mayHaveRun('upstream_cut');
           this.onAttemptFailed({verdict, detail: messageOf(error)}, true);
         },
@@ -165,6 +168,11 @@
   }
 
   private next(): void {
+    const heldBackMs = this.ctx.crashes.heldBackMs(this.asSent);
+    if (heldBackMs > 0) {
+      this.refuse('crashes_replicas', heldBackMs, {});
+      return;
+    }
     const engine = this.ctx.engineOf(this.service);
     if (engine !== undefined && this.head.generation !== undefined) {
       this.ctx.line.submit(this);
@@ -199,7 +207,7 @@
       );
       return;
     }
-    const detail = this.faultOf(head);
+    const detail = answerFault(head, this.canRetryAnswer());
     if (detail !== undefined) {
       // A failure that is well formed leaves its connection usable.
       if (head.status < 400) this.exchange?.abort();
@@ -209,17 +217,6 @@
     this.relay.head(head, this.ctx.isDraining());
   }
 
-  /** Why an answer must not reach the caller; undefined when it may. */
-  private faultOf(head: ReplicaHead): string | undefined {
-    const {status} = head;
-    if (status < 300 && !head.signed) return 'unsigned answer';
-    if (status >= 500 && this.canRetryAnswer()) return `status ${status}`;
-    // These would promise the caller that nothing ran, which the replica has not stated.
-    if (status === 429 || status === 503 || status === 408)
-      return `status ${status} without not-run`;
-    return undefined;
-  }
-
   private canRetryAnswer(): boolean {
     return this.route.kind === 'idempotent' && this.runs + 1 < this.route.maxAttempts;
   }
@@ -257,6 +254,7 @@
       return;
     }
     this.relay.end();
+    this.ctx.crashes.onServed(this.asSent);
     this.finish('answered', {replica: replica.id, status: this.res.statusCode});
   }
 
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -3,6 +3,7 @@
 import type {WindowBudget} from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
 import type {CallerRequest} from './caller_request.ts';
+import type {CrashWatch} from './crash_watch.ts';
 import type {EngineLine} from './engine_line.ts';
 import type {GatewayMetrics} from './gateway_metrics.ts';
 import type {PrefillEstimator} from './prefill_estimator.ts';
@@ -19,6 +20,7 @@
   readonly table: ReplicaTable;
   readonly estimator: PrefillEstimator;
   readonly line: EngineLine;
+  readonly crashes: CrashWatch;
   engineOf(service: string): EngineSpec | undefined;
   retryBudget(service: string): WindowBudget;
   /** Gateways that share the retry budget. */
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -6,6 +6,7 @@
   type LinkFault,
   type MemberInfo,
   type ModelDemandMessage,
+  type SuspectMessage,
 } from '@jasminepost/mesh';
 
 const REPORT_INTERVAL_MS = 250;
@@ -18,6 +19,8 @@
   takeDemand(): ModelDemandMessage;
   /** Called instead of a send while this gateway is the planner. */
   onOwnDemand(message: ModelDemandMessage): void;
+  /** Called for a request that another gateway has found to crash replicas. */
+  onSuspect(message: SuspectMessage): void;
 }
 
 /** @internal */
@@ -51,7 +54,9 @@
       this.guard,
       {
         onUp: () => this.log.info('planner linked', {host: address.host}),
-        onMessage: () => undefined,
+        onMessage: (_client, message) => {
+          if (message.type === 'suspect') this.events.onSuspect(message);
+        },
         onDown: (_client, fault) => this.log.info('planner lost', {host: address.host, fault}),
         isAwaiting: () => false,
       },
@@ -65,6 +70,11 @@
     return this.address !== undefined && this.isOwn(this.address);
   }
 
+  /** Tells the planner, which tells all gateways. */
+  announce(message: SuspectMessage): void {
+    this.client?.link?.send(message);
+  }
+
   dispose(): void {
     this.disposer.dispose();
     this.client?.dispose();
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -6,7 +6,10 @@
   type HelloGuard,
   type LinkFault,
   type MemberInfo,
+  type MeshLink,
+  type MeshMessage,
   type ModelDemandMessage,
+  type SuspectMessage,
 } from '@jasminepost/mesh';
 import type {StoreChange} from '@jasminepost/platform';
 import {PlannerDesk, type PlannerContext} from './planner_desk.ts';
@@ -31,6 +34,9 @@
   readonly guard: HelloGuard;
   readonly faults: CounterFamily<LinkFault>;
   takeDemand(): ModelDemandMessage;
+  /** Requests that are known here to crash replicas. */
+  suspects(): readonly SuspectMessage[];
+  onSuspect(message: SuspectMessage): void;
 }
 
 /** @internal */
@@ -60,15 +66,16 @@
     this.link = new PlannerLink(self, address, guard, log, faults, {
       takeDemand: () => ctx.takeDemand(),
       onOwnDemand: message => this.desk.takeDemand(self.id, message),
+      onSuspect: message => ctx.onSuspect(message),
     });
     this.mesh = new MeshServer(
       self,
       guard,
       {
-        onLink: () => undefined,
-        onMessage: (link, message) => {
-          if (message.type === 'model_demand') this.desk.takeDemand(link.peer?.id ?? '', message);
+        onLink: link => {
+          for (const suspect of ctx.suspects()) link.send(suspect);
         },
+        onMessage: (link, message) => this.receive(link, message),
         onLinkLost: () => undefined,
       },
       faults,
@@ -89,12 +96,32 @@
     if (!this.holderKnown) this.lease.lookSoon();
   }
 
+  /** Tells the other gateways of a request that crashes replicas, by way of the planner. */
+  announce(message: SuspectMessage): void {
+    if (this.link.isOwnRole) this.mesh.broadcast(message);
+    else this.link.announce(message);
+  }
+
   dispose(): void {
     this.lease.dispose();
     this.desk.dispose();
     this.link.dispose();
     this.mesh.close();
   }
+
+  private receive(link: MeshLink, message: MeshMessage): void {
+    switch (message.type) {
+      case 'model_demand':
+        this.desk.takeDemand(link.peer?.id ?? '', message);
+        return;
+      case 'suspect':
+        this.ctx.onSuspect(message);
+        this.mesh.broadcast(message);
+        return;
+      default:
+        this.ctx.log.warn('message of this type is not for a planner', {type: message.type});
+    }
+  }
 }
 
 /** Address in the role's record; undefined when nobody holds the role. */
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -50,7 +50,12 @@
 
   /** True when new requests may go there. */
   get usable(): boolean {
-    return !this.entry.leaving && !this.displaced && !this.isDown();
+    return !this.entry.leaving && !this.hasEnded;
+  }
+
+  /** True when it is known to have ended. */
+  get hasEnded(): boolean {
+    return this.displaced || this.isDown();
   }
 
   /** What it holds: its steward's word if that is of the same incarnation, else its entry's. */
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -13,6 +13,7 @@
 import {RouteTable} from '@jasminepost/serving';
 import {CallerServer} from './lib/caller_server.ts';
 import {ConfigHolder} from './lib/config_holder.ts';
+import {CrashWatch} from './lib/crash_watch.ts';
 import {DemandMeter} from './lib/demand_meter.ts';
 import {EngineLine} from './lib/engine_line.ts';
 import {FleetFeed} from './lib/fleet_feed.ts';
@@ -65,6 +66,12 @@
     onRemoved: replica => links.remove(replica),
     onChanged: () => line.wake(),
   });
+  const crashes = new CrashWatch({
+    clock,
+    log,
+    isLost: replica => replica.hasEnded || table.replicas.get(replica.id) !== replica,
+    announce: message => planner.announce(message),
+  });
   const estimator = new PrefillEstimator();
   const demand = new DemandMeter(estimator);
   const line: EngineLine = new EngineLine({
@@ -92,6 +99,7 @@
     table,
     estimator,
     line,
+    crashes,
     engineOf,
     retryBudget: service => budgets.of(service),
     gateways: () => Math.max(ASSUMED_GATEWAYS, table.gateways()),
@@ -101,7 +109,7 @@
   };
   const server = new CallerServer(() => ctx);
   const stop = new GracefulStop(clock, log, server, own.bounds.graceMs);
-  const planner = new PlannerRole({
+  const planner: PlannerRole = new PlannerRole({
     clock,
     log,
     store,
@@ -119,6 +127,8 @@
     place: (replica, message) => links.place(replica, message),
     onMove: move => metrics.placements.increment(move.source),
     takeDemand: () => demand.take(line.waitingByModel()),
+    suspects: () => crashes.list(),
+    onSuspect: message => crashes.take(message),
   });
   const feed = new FleetFeed(store, log, {
     onConfig: (text, revision) => config.take(text, revision),
@@ -148,6 +158,7 @@
     feed.dispose();
     links.dispose();
     line.dispose();
+    crashes.dispose();
     table.dispose();
   });
 }
--- a/features/steps/users_platform_checks.ts
+++ b/features/steps/users_platform_checks.ts
@@ -165,3 +165,21 @@
     assert.equal(answers[0].status, status);
   },
 );
+
+Then('at most {int} replicas have crashed', function (this: FleetWorld, most: number) {
+  const crashed = of(this).fleet.services.filter(replica => replica.runs.length > 0);
+  assert.ok(crashed.length <= most, String(crashed.length));
+});
+
+Then('the last answer is a refusal with a time to return', function (this: FleetWorld) {
+  const last = of(this).answers.at(-1)!;
+  assert.equal(last.status, 503);
+  assert.ok(Number(last.headers['retry-after']) > 0);
+});
+
+Then('an order with another body is answered by each gateway', async function (this: FleetWorld) {
+  for (const gateway of [0, 1]) {
+    const {status} = await of(this).fleet.call({path: '/order/7', gateway});
+    assert.equal(status, 200);
+  }
+});
--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -9,6 +9,8 @@
 import type {FleetWorld} from '../support/world.ts';
 
 const SETTLE_MS = 1200;
+/** Gateways have told each other by then. */
+const PAUSE_MS = 400;
 
 After(async function (this: FleetWorld) {
   await notes.get(this)?.fleet.stop();
@@ -221,3 +223,54 @@
     return answer.status === 0 ? undefined : found.answers.push(answer);
   });
 });
+
+Given(
+  'an order with the body {string} crashes its replica',
+  async function (this: FleetWorld, body: string) {
+    const {fleet} = of(this);
+    for (const replica of fleet.services) {
+      replica.crashingBody = body;
+      replica.onCrash = () => fleet.store.remove(`servers/${replica.id}`);
+    }
+    // The planner's role has to be taken: gateways tell each other by way of its holder.
+    await sleep(SETTLE_MS * 2);
+  },
+);
+
+When(
+  'a caller sends the order {string} {int} times to each gateway in turn',
+  async function (this: FleetWorld, body: string, times: number) {
+    const found = of(this);
+    for (let i = 0; i < 2 * times; i++) {
+      found.answers.push(await found.fleet.call({path: '/order/7', body, gateway: i % 2}));
+      await sleep(PAUSE_MS);
+    }
+  },
+);
+
+When(
+  'all replicas crash while {int} orders run at each gateway and new ones come',
+  async function (this: FleetWorld, count: number) {
+    const {fleet} = of(this);
+    await sleep(SETTLE_MS * 2);
+    const old = [...fleet.services];
+    const running = Array.from({length: 2 * count}, (_, i) =>
+      fleet.call({path: '/order/7', gateway: i % 2}),
+    );
+    await sleep(PAUSE_MS);
+    for (const replica of old) {
+      fleet.store.remove(`servers/${replica.id}`);
+      replica.close();
+    }
+    for (const {status} of await Promise.all(running)) assert.equal(status, 502);
+    fleet.register(await fleet.addReplica('orders', false));
+    await sleep(SETTLE_MS);
+  },
+);
+
+When('the same order is sent to each gateway once more', async function (this: FleetWorld) {
+  const found = of(this);
+  for (const gateway of [0, 1]) {
+    found.answers.push(await found.fleet.call({path: '/order/7', gateway}));
+  }
+});
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -230,7 +230,7 @@
     return new FleetProcess(program, ['--config', path, '--mesh-key', MESH_KEY]);
   }
 
-  private async addReplica(service: string, isEngine: boolean): Promise<void> {
+  async addReplica(service: string, isEngine: boolean): Promise<UsersReplica> {
     const list = isEngine ? this.engines : this.services;
     const replica = new UsersReplica(`i-${service}-${list.length + 1}`, service, ZONE, isEngine);
     if (isEngine) replica.models.set(MODEL, new Set());
@@ -238,6 +238,7 @@
     this.hosts.set(replica, host);
     await replica.listen(host);
     list.push(replica);
+    return replica;
   }
 
   private async ready(gateway: Gateway): Promise<void> {
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -146,3 +146,18 @@
       | a bad store address   | platform.address         |
       | no address for callers | listenAddrs.front        |
       | a text as a bound     | bounds.drainMs           |
+
+  Scenario: a request that crashes the replicas which run it
+    Given a users' fleet of 5 service replicas, 0 engines and 2 gateway
+    And an order with the body "crash" crashes its replica
+    When a caller sends the order "crash" 3 times to each gateway in turn
+    Then at most 2 replicas have crashed
+    And the last answer is a refusal with a time to return
+    And an order with another body is answered by each gateway
+
+  Scenario: replicas that crash together
+    Given a users' fleet of 3 service replicas, 0 engines and 2 gateway
+    And the replicas need 1500 ms for a request
+    When all replicas crash while 4 orders run at each gateway and new ones come
+    And the same order is sent to each gateway once more
+    Then every answer is whole
--- a/packages/policy/src/lib/quarantine.ts
+++ b/packages/policy/src/lib/quarantine.ts
@@ -13,6 +13,7 @@
 
 interface Suspicion {
   readonly crashes: number;
+  readonly reportedMs: number;
   readonly untilMs: number;
 }
 
@@ -27,7 +28,11 @@
     const known = this.crashesOf(fingerprint, nowMs);
     if (crashes <= known) return false;
     this.suspects.delete(fingerprint);
-    this.suspects.set(fingerprint, {crashes, untilMs: nowMs + this.memoryMs});
+    this.suspects.set(fingerprint, {
+      crashes,
+      reportedMs: nowMs,
+      untilMs: nowMs + this.memoryMs,
+    });
     if (this.suspects.size > MAX_SUSPECTS) {
       this.suspects.delete(this.suspects.keys().next().value!);
     }
@@ -43,6 +48,11 @@
     return this.find(fingerprint, nowMs)?.crashes ?? 0;
   }
 
+  /** When the last crash was reported; minus infinity when none was. */
+  reportedMs(fingerprint: string): number {
+    return this.suspects.get(fingerprint)?.reportedMs ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Milliseconds until the fingerprint is forgotten. */
   remainingMs(fingerprint: string, nowMs: number): number {
     const found = this.find(fingerprint, nowMs);
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -51,6 +51,9 @@
   loadMs = 60;
   /** Pause between two events of a stream. */
   eventMs = 15;
+  /** A request with this body crashes the replica. */
+  crashingBody: string | undefined;
+  onCrash: () => void = () => undefined;
   readonly models = new Map<string, Set<string>>();
   readonly onDisk = new Set<string>();
   sequence = 0;
@@ -82,6 +85,12 @@
     this.server.close();
   }
 
+  /** Ends without a word to anyone. */
+  crash(): void {
+    this.close();
+    this.onCrash();
+  }
+
   /** What the replica writes of itself into the store. */
   entry(host: string, state: 'ready' | 'draining' = 'ready'): unknown {
     return {
@@ -120,6 +129,7 @@
       abandoned: false,
     };
     this.runs.push(seen);
+    if (body === this.crashingBody) return this.crash();
     res.on('close', () => (seen.abandoned = !res.writableFinished));
     await sleep(this.workMs);
     await this.answer(seen, req, res);
