--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -23,7 +23,7 @@
 /** Looks at the role while it is free, and while the feed shows a holder. */
 const FREE_LOOK_MS = 300;
 const HELD_LOOK_MS = 8000;
-/** Share of the stewards without which a planner leaves the role to a gateway that reaches more. */
+/** A planner that reaches fewer of the stewards leaves the role: less than one zone of three. */
 const MIN_REACHED_SHARE = 0.25;
 /** Links are made anew within this after a start or a break. */
 const UNREACHED_GRACE_MS = 1500;
--- a/apps/steward/src/lib/engine_watch.ts
+++ b/apps/steward/src/lib/engine_watch.ts
@@ -3,7 +3,7 @@
 import type {EngineLoadMessage, EngineStateMessage, MeshMessage} from '@jasminepost/mesh';
 import type {EngineReport} from '@jasminepost/serving';
 
-/** Reports come from the same machine and are free; each costs a third of a millisecond to read. */
+/** Reports come from the same instance and are free but for the time to read them. */
 const POLL_MS = 100;
 /**
  * Gateways hear of load this often when it changes, those of other availability zones less often:
--- a/packages/policy/src/lib/drain_pace.ts
+++ b/packages/policy/src/lib/drain_pace.ts
@@ -1,6 +1,6 @@
 /** Pace at which a line empties, learned from the sends themselves. */
 
-/** Weight of the newest gap between two sends. */
+/** Weight of the newest gap between two sends: seven of them outweigh what was before. */
 const GAP_WEIGHT = 0.15;
 
 /**
--- a/packages/policy/src/lib/engine_choice.ts
+++ b/packages/policy/src/lib/engine_choice.ts
@@ -39,7 +39,7 @@
   | {readonly kind: 'full'}
   | {readonly kind: 'none'};
 
-/** What bytes to another availability zone cost, stated as time. */
+/** What bytes to another availability zone cost, stated as time: about one prompt ahead. */
 const CROSS_ZONE_MS = 100;
 /** Two trips inside a zone, an order and the load itself. */
 const ADAPTER_LOAD_MS = 35;
--- a/packages/policy/src/lib/returning_caller.ts
+++ b/packages/policy/src/lib/returning_caller.ts
@@ -1,6 +1,6 @@
 /** Tells callers that have been refused before from new ones, by the time that they have left. */
 
-/** Callers of one route differ by up to a seventh in the time that they state at first. */
+/** Callers of one route state 85 to 100% of its longest time at first, on the users' standard days. */
 const FIRST_SHARE = 0.85;
 /** A longest time that was stated longer ago no longer counts. */
 const MEMORY_MS = 30_000;
--- a/packages/policy/src/lib/waiting_line.ts
+++ b/packages/policy/src/lib/waiting_line.ts
@@ -32,7 +32,7 @@
 
 /**
  * Share of its time up to the target that a request may be expected to spend in the line. A longer
- * line serves no more requests, but each of them at the last moment.
+ * line serves no more requests, but each of them at the last moment, behind a replica's backlog.
  */
 const LINE_SHARE = 0.6;
 
