Let a replica that crashed while a model was on its way take orders again

Ruled out: entries under new ids (listed 0.1 s after the start), links to the stewards (up), the planner's role (held). The last report is kept for the comparison.

--- a/apps/steward/src/lib/engine_watch.ts
+++ b/apps/steward/src/lib/engine_watch.ts
@@ -42,7 +42,10 @@
 
 /** @internal */
 export class EngineWatch {
+  /** Newest report; undefined while the replica does not answer. */
   report: EngineReport | undefined;
+  /** The last one there was: a replica that is silent for a while may have restarted. */
+  private last: EngineReport | undefined;
   private failures = 0;
   private stateText = '';
   private readonly told: Readonly<Record<LoadAudience, LoadTold>> = {
@@ -118,8 +121,8 @@
 
   private take(report: EngineReport): void {
     const {ctx} = this;
-    const before = this.report;
-    if (this.failures >= FAILURES_TO_DOWN || before === undefined) {
+    const before = this.last;
+    if (this.report === undefined) {
       ctx.log.info('replica answers', {
         bornMs: report.bornMs,
         sequence: report.sequence,
@@ -136,6 +139,7 @@
       ctx.onRestart();
     }
     this.report = report;
+    this.last = report;
     ctx.onReport(report);
   }
 
--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -175,6 +175,34 @@
   },
 );
 
+Given('the engines need {int} ms to load a model', function (this: FleetWorld, loadMs: number) {
+  for (const engine of of(this).fleet.engines) engine.loadMs = loadMs;
+});
+
+When(
+  'a caller sends a patient draft for the model {string} and leaves after {int} ms',
+  async function (this: FleetWorld, model: string, leaveAfterMs: number) {
+    const {fleet} = of(this);
+    for (const engine of fleet.engines) engine.onDisk.add(model);
+    await sleep(SETTLE_MS);
+    await fleet.call({path: '/long/1', headers: {model}, leaveAfterMs});
+    assert.ok(fleet.engines[0].orders.length > 0, 'no load has begun');
+  },
+);
+
+When(
+  'the first engine is down for {int} ms and comes back, empty, under another id',
+  async function (this: FleetWorld, downMs: number) {
+    const {fleet} = of(this);
+    const [engine] = fleet.engines;
+    const before = engine.id;
+    await engine.downFor(downMs, `${before}-again`);
+    fleet.register(engine);
+    fleet.store.remove(`servers/${before}`);
+    await sleep(SETTLE_MS);
+  },
+);
+
 When('a caller sends {int} drafts', async function (this: FleetWorld, count: number) {
   await send(this, '/draft/7', count);
 });
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -119,6 +119,15 @@
     And a caller sends a patient draft for the model "rare"
     Then every answer is whole
 
+  Scenario: a model replica that crashes while a model is on its way
+    Given a users' fleet of 0 service replicas, 1 engines and 1 gateway
+    And the engines need 3000 ms to load a model
+    When a caller sends a patient draft for the model "rare" and leaves after 1000 ms
+    And the first engine is down for 800 ms and comes back, empty, under another id
+    And the engines need 60 ms to load a model
+    And a caller sends a patient draft for the model "rare"
+    Then every answer is whole
+
   Scenario: entries that lapsed while the store was away
     Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
     When the store is away for 4000 ms and the replicas' entries lapse meanwhile
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -59,6 +59,8 @@
   sequence = 0;
   born = Date.now();
   private busy = false;
+  /** Counts starts; what an earlier life had begun does not end in this one. */
+  private life = 0;
   private readonly incoming = new Set<string>();
   private readonly server: Server;
 
@@ -88,6 +90,8 @@
   /** Starts again at its address: it holds nothing, and knows nothing of before. */
   restart(id: string): void {
     this.id = id;
+    this.life += 1;
+    this.busy = false;
     this.born = Date.now();
     this.sequence = 0;
     this.models.clear();
@@ -100,6 +104,15 @@
     this.onCrash();
   }
 
+  /** Answers nobody for a while and starts again at its address. */
+  async downFor(downMs: number, id: string): Promise<void> {
+    const {address, port} = this.server.address() as AddressInfo;
+    this.close();
+    await sleep(downMs);
+    this.restart(id);
+    await new Promise<void>(resolve => this.server.listen(port, address, resolve));
+  }
+
   /** What the replica writes of itself into the store. */
   entry(host: string, state: 'ready' | 'draining' = 'ready'): unknown {
     return {
@@ -267,7 +280,9 @@
 
   private moveModel({operation, model}: Order): void {
     this.busy = true;
+    const {life} = this;
     setTimeout(() => {
+      if (life !== this.life) return;
       this.busy = false;
       if (operation === 'loading') this.models.set(model, new Set());
       else this.models.delete(model);
