Soak the gateways and stewards under faults that overlap

Real processes on loopback, a proxy before the store and each replica, signals, and a store and replicas that misbehave; callers keep connections, leave and send all kinds.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -17,7 +17,7 @@
   severity: 'error',
   from: {path: `^packages/${name}/`},
   to: {
-    path: '^(packages|apps|stand_ins|features|bench|scripts)/',
+    path: '^(packages|apps|stand_ins|features|bench|scripts|soak)/',
     pathNot: `^packages/(${[name, ...allowed].join('|')})/`,
   },
 }));
@@ -30,7 +30,7 @@
       severity: 'error',
       from: {path: '^platform/'},
       to: {
-        path: '^(packages|apps|stand_ins|features|bench|scripts)/',
+        path: '^(packages|apps|stand_ins|features|bench|scripts|soak)/',
         pathNot: '^packages/(core|key_value|serving)/',
       },
     },
@@ -58,7 +58,7 @@
       name: 'apps-without-scaffolding',
       severity: 'error',
       from: {path: '^apps/'},
-      to: {path: '^(stand_ins|features|bench|scripts)/'},
+      to: {path: '^(stand_ins|features|bench|scripts|soak)/'},
     },
     {
       name: 'policy-without-io',
--- /dev/null
+++ b/features/steps/soak_steps.ts
@@ -0,0 +1,21 @@
+/** Short seeded runs of the soak. */
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {soak, type SoakReport} from '../../soak/soak_run.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const reports = new WeakMap<FleetWorld, SoakReport>();
+
+When(
+  'the soak plays seed {int}',
+  {timeout: 120_000},
+  async function (this: FleetWorld, seed: number) {
+    reports.set(this, await soak(seed));
+  },
+);
+
+Then('no promise was broken', function (this: FleetWorld) {
+  const {broken, answered, calls, logs} = reports.get(this)!;
+  assert.deepEqual(broken, [], logs.slice(-5000));
+  assert.ok(answered > calls / 4, `${answered} of ${calls}`);
+});
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -5,6 +5,7 @@
 import {join} from 'node:path';
 import {MetadataStore} from '../../stand_ins/users_platform/metadata_store.ts';
 import {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {LoopbackProxy} from '../../soak/loopback_proxy.ts';
 import {FleetProcess, freePort, until} from './fleet_process.ts';
 
 export const HOST = 'tables.example';
@@ -37,7 +38,7 @@
 }
 
 interface Gateway {
-  readonly process: FleetProcess;
+  process: FleetProcess;
   readonly ip: string;
   readonly callerPort: number;
   readonly readyPort: number;
@@ -56,6 +57,9 @@
   readonly engines: UsersReplica[] = [];
   readonly gateways: Gateway[] = [];
   readonly stewards: FleetProcess[] = [];
+  /** Links that can be harmed: to the store, and to each replica. */
+  storeLink: LoopbackProxy | undefined;
+  readonly replicaLinks = new Map<UsersReplica, LoopbackProxy>();
   private readonly hosts = new Map<UsersReplica, string>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'jasminepost-users-'));
   private storeAddress = '';
@@ -63,12 +67,28 @@
   private version = 1;
   private lastId = 0;
 
-  /** Starts everything and waits until the gateways are ready. */
-  async start(services: number, engines: number, gateways: number): Promise<void> {
+  /**
+   * Starts everything and waits until the gateways are ready.
+   *
+   * @param harmable - True puts a proxy before the store and each replica.
+   */
+  async start(
+    services: number,
+    engines: number,
+    gateways: number,
+    harmable = false,
+  ): Promise<void> {
     this.storeAddress = await this.store.listen();
+    if (harmable) {
+      const [host, port] = this.storeAddress.split(':');
+      this.storeLink = new LoopbackProxy(host, Number(port));
+      await this.storeLink.listen(host);
+      this.storeAddress = `${host}:${this.storeLink.port}`;
+    }
     this.meshPort = await freePort();
     for (let i = 0; i < services; i++) await this.addReplica('orders', false);
     for (let i = 0; i < engines; i++) await this.addReplica('models', true);
+    if (harmable) await this.addReplicaLinks();
     for (const replica of [...this.services, ...this.engines]) this.register(replica);
     this.configure({});
     for (const engine of this.engines) this.startSteward(engine);
@@ -81,6 +101,8 @@
       await process.kill();
     }
     for (const replica of [...this.services, ...this.engines]) replica.close();
+    for (const link of this.replicaLinks.values()) link.close();
+    this.storeLink?.close();
     this.store.close();
     rmSync(this.folder, {recursive: true});
   }
@@ -92,7 +114,8 @@
   /** Writes the replica's entry. */
   register(replica: UsersReplica, state: 'ready' | 'draining' = 'ready'): void {
     const host = this.hosts.get(replica) ?? '';
-    this.store.put(`servers/${replica.id}`, replica.entry(host, state));
+    const port = this.replicaLinks.get(replica)?.port;
+    this.store.put(`servers/${replica.id}`, replica.entry(host, state, port));
   }
 
   /** Writes a configuration with the given changes to its routes. */
@@ -205,6 +228,27 @@
     this.gateways.push({process, ip, callerPort, readyPort});
   }
 
+  /** Starts a gateway that has ended again, at its address. */
+  restartGateway(index: number): void {
+    const gateway = this.gateways[index];
+    gateway.process = new FleetProcess(gateway.process.program, gateway.process.args);
+  }
+
+  /** Starts a steward that has ended again, at its address. */
+  restartSteward(index: number): void {
+    const {program, args} = this.stewards[index];
+    this.stewards[index] = new FleetProcess(program, args);
+  }
+
+  private async addReplicaLinks(): Promise<void> {
+    for (const replica of [...this.services, ...this.engines]) {
+      const host = this.hostOf(replica);
+      const link = new LoopbackProxy(host, replica.port);
+      await link.listen(host);
+      this.replicaLinks.set(replica, link);
+    }
+  }
+
   private startSteward(engine: UsersReplica): void {
     const ip = this.hosts.get(engine) ?? '';
     const process = this.spawn('jasminepost-steward', ip, {
--- /dev/null
+++ b/soak/loopback_proxy.ts
@@ -0,0 +1,84 @@
+/** Passes connections on over loopback and harms them on demand. */
+import {connect, createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {resetNow} from '@jasminepost/core';
+
+/** `held` passes nothing on in either direction, `one_way` only what callers send. */
+export type LinkState = 'sound' | 'slow' | 'held' | 'one_way';
+
+/** Delay of each piece on a slow link. */
+const SLOW_MS = 120;
+
+export class LoopbackProxy {
+  private state: LinkState = 'sound';
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  /** What waits for the link to be sound again. */
+  private waiting: Array<() => void> = [];
+
+  constructor(
+    private readonly targetHost: string,
+    private readonly targetPort: number,
+  ) {
+    this.server = createServer(caller => this.accept(caller));
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  async listen(host: string): Promise<void> {
+    await new Promise<void>(resolve => this.server.listen(0, host, resolve));
+  }
+
+  setState(state: LinkState): void {
+    this.state = state;
+    if (state !== 'sound') return;
+    for (const pass of this.waiting.splice(0)) pass();
+  }
+
+  /** Resets every connection. */
+  reset(): void {
+    for (const socket of this.sockets) resetNow(socket);
+  }
+
+  close(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  private accept(caller: Socket): void {
+    const target = connect(this.targetPort, this.targetHost);
+    this.join(caller, target, 'request');
+    this.join(target, caller, 'answer');
+  }
+
+  private join(from: Socket, to: Socket, direction: 'request' | 'answer'): void {
+    this.sockets.add(from);
+    from.setNoDelay(true);
+    from.on('error', () => from.destroy());
+    from.on('data', data => this.pass(direction, () => to.write(data)));
+    from.on('end', () => this.pass(direction, () => to.end()));
+    from.on('close', hadError => {
+      this.sockets.delete(from);
+      this.pass(direction, () => (hadError ? resetNow(to) : to.destroySoon()));
+    });
+  }
+
+  private pass(direction: 'request' | 'answer', act: () => void): void {
+    switch (this.state) {
+      case 'sound':
+        if (this.waiting.length === 0) act();
+        else this.waiting.push(act);
+        return;
+      case 'slow':
+        setTimeout(act, SLOW_MS);
+        return;
+      case 'held':
+        this.waiting.push(act);
+        return;
+      case 'one_way':
+        if (direction === 'request') act();
+        else this.waiting.push(act);
+    }
+  }
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,40 @@
+/** `npm run soak -- --seeds 50`: plays many seeds and keeps the logs of those that break a promise. */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {command, number, option, run} from 'cmd-ts';
+import {soak} from './soak_run.ts';
+
+const LOG_FOLDER = 'soak-logs';
+
+const app = command({
+  name: 'soak',
+  description: 'Runs the real programs under faults and checks what callers and replicas see.',
+  args: {
+    seeds: option({type: number, long: 'seeds', defaultValue: () => 10}),
+    first: option({type: number, long: 'first', defaultValue: () => 1}),
+    jobs: option({type: number, long: 'jobs', defaultValue: () => 2}),
+  },
+  handler: async ({seeds, first, jobs}) => {
+    let next = first;
+    let failed = 0;
+    const work = async () => {
+      while (next < first + seeds) {
+        const report = await soak(next++);
+        const kinds = report.faults.map(fault => fault.kind).join(', ');
+        console.log(
+          `seed ${report.seed}: ${report.answered} of ${report.calls} answered; ${kinds}`,
+        );
+        if (report.broken.length === 0) continue;
+        failed += 1;
+        mkdirSync(LOG_FOLDER, {recursive: true});
+        writeFileSync(`${LOG_FOLDER}/${report.seed}.log`, report.logs);
+        writeFileSync(`${LOG_FOLDER}/${report.seed}.json`, JSON.stringify(report.faults, null, 1));
+        for (const line of report.broken.slice(0, 10)) console.log(`  broken: ${line}`);
+      }
+    };
+    await Promise.all(Array.from({length: jobs}, work));
+    console.log(`${seeds - failed} passed, ${failed} failed`);
+    process.exitCode = failed === 0 ? 0 : 1;
+  },
+});
+
+void run(app, process.argv.slice(2));
--- /dev/null
+++ b/soak/soak_faults.ts
@@ -0,0 +1,181 @@
+/** Draws series of faults that overlap, and brings each of them about from outside. */
+import {sleep} from '@jasminepost/core';
+import type {FleetProcess} from '../features/support/fleet_process.ts';
+import type {UsersFleet} from '../features/support/users_fleet.ts';
+import type {ReplicaFault, UsersReplica} from '../stand_ins/users_platform/replica.ts';
+import type {LinkState, LoopbackProxy} from './loopback_proxy.ts';
+
+export type FaultKind =
+  | 'pause gateway'
+  | 'pause steward'
+  | 'kill gateway'
+  | 'kill steward'
+  | 'stop gateway'
+  | 'reload gateway'
+  | 'harm store link'
+  | 'harm replica link'
+  | 'reset replica link'
+  | 'store unavailable'
+  | 'store forgets history'
+  | 'replica misbehaves'
+  | 'engine restarts'
+  | 'replica drains'
+  | 'configuration changes';
+
+export interface Fault {
+  readonly kind: FaultKind;
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Chooses the process, replica or variant, in [0, 1). */
+  readonly pick: number;
+}
+
+const KINDS: readonly FaultKind[] = [
+  'pause gateway',
+  'pause steward',
+  'kill gateway',
+  'kill steward',
+  'stop gateway',
+  'reload gateway',
+  'harm store link',
+  'harm replica link',
+  'reset replica link',
+  'store unavailable',
+  'store forgets history',
+  'replica misbehaves',
+  'engine restarts',
+  'replica drains',
+  'configuration changes',
+];
+const MISBEHAVIOURS: readonly ReplicaFault[] = [
+  'sheds',
+  'sheds without saying so',
+  'fails',
+  'unsigned',
+  'foreign answer',
+  'cut in the answer',
+  'unframed and cut',
+  'reset before the answer',
+  'cut in an event',
+];
+const HARMS: readonly LinkState[] = ['slow', 'held', 'one_way'];
+const LEAST_FAULTS = 5;
+const MORE_FAULTS = 6;
+const MIN_MS = 200;
+const MEAN_MS = 900;
+const MAX_MS = 2500;
+/** Time after which the platform starts an ended process again. */
+const RESTART_MS = 300;
+
+/** Faults that begin within `durationMs`, in the order of their beginnings. */
+export function drawFaults(random: () => number, durationMs: number): Fault[] {
+  const count = LEAST_FAULTS + Math.floor(random() * MORE_FAULTS);
+  const faults = Array.from({length: count}, () => ({
+    kind: KINDS[Math.floor(random() * KINDS.length)],
+    atMs: random() * durationMs,
+    forMs: Math.min(MAX_MS, MIN_MS - Math.log(1 - random()) * MEAN_MS),
+    pick: random(),
+  }));
+  return faults.sort((a, b) => a.atMs - b.atMs);
+}
+
+/** Brings a fault about and ends it; resolves once it is over. */
+export async function play(fleet: UsersFleet, fault: Fault): Promise<void> {
+  const {forMs, pick} = fault;
+  const gateway = Math.floor(pick * fleet.gateways.length);
+  const steward = Math.floor(pick * fleet.stewards.length);
+  switch (fault.kind) {
+    case 'pause gateway':
+      return pause(fleet.gateways[gateway].process, forMs);
+    case 'pause steward':
+      return pause(fleet.stewards[steward], forMs);
+    case 'kill gateway':
+      return endAndRestart(fleet.gateways[gateway].process, 'SIGKILL', () =>
+        fleet.restartGateway(gateway),
+      );
+    case 'kill steward':
+      return endAndRestart(fleet.stewards[steward], 'SIGKILL', () => fleet.restartSteward(steward));
+    case 'stop gateway':
+      return endAndRestart(fleet.gateways[gateway].process, 'SIGTERM', () =>
+        fleet.restartGateway(gateway),
+      );
+    case 'reload gateway':
+      fleet.gateways[gateway].process.signal('SIGHUP');
+      return;
+    case 'harm store link':
+      return harm(fleet.storeLink!, choose(HARMS, pick), forMs);
+    case 'harm replica link':
+      return harm(choose([...fleet.replicaLinks.values()], pick), choose(HARMS, pick * 7), forMs);
+    case 'reset replica link':
+      choose([...fleet.replicaLinks.values()], pick).reset();
+      return;
+    case 'store unavailable':
+      fleet.store.mode = pick < 0.5 ? 'unavailable' : 'silent';
+      await sleep(forMs);
+      fleet.store.mode = 'up';
+      return;
+    case 'store forgets history':
+      fleet.store.compact();
+      return;
+    case 'replica misbehaves':
+      return misbehave(choose([...fleet.services, ...fleet.engines], pick), pick, forMs);
+    case 'engine restarts':
+      return restartEngine(fleet, choose(fleet.engines, pick));
+    case 'replica drains':
+      return drain(fleet, choose([...fleet.services, ...fleet.engines], pick), forMs);
+    case 'configuration changes':
+      fleet.configure({timeoutMs: 2500 + Math.floor(pick * 1000)});
+  }
+}
+
+function choose<T>(items: readonly T[], pick: number): T {
+  return items[Math.floor((pick % 1) * items.length)];
+}
+
+async function pause(process: FleetProcess, forMs: number): Promise<void> {
+  process.signal('SIGSTOP');
+  await sleep(forMs);
+  process.signal('SIGCONT');
+}
+
+async function endAndRestart(
+  process: FleetProcess,
+  signal: 'SIGKILL' | 'SIGTERM',
+  restart: () => void,
+): Promise<void> {
+  // Two faults may have chosen one process; it is started again once.
+  if (!process.running || ending.has(process)) return;
+  ending.add(process);
+  process.signal(signal);
+  await process.exited;
+  await sleep(RESTART_MS);
+  restart();
+}
+
+const ending = new WeakSet<FleetProcess>();
+
+async function harm(link: LoopbackProxy, state: LinkState, forMs: number): Promise<void> {
+  link.setState(state);
+  await sleep(forMs);
+  link.setState('sound');
+}
+
+async function misbehave(replica: UsersReplica, pick: number, forMs: number): Promise<void> {
+  replica.fault = choose(MISBEHAVIOURS, pick * 13);
+  await sleep(forMs);
+  replica.fault = 'none';
+}
+
+async function restartEngine(fleet: UsersFleet, engine: UsersReplica): Promise<void> {
+  const before = engine.id;
+  engine.restart(`${before}x`);
+  await sleep(RESTART_MS);
+  fleet.register(engine);
+  fleet.store.remove(`servers/${before}`);
+}
+
+async function drain(fleet: UsersFleet, replica: UsersReplica, forMs: number): Promise<void> {
+  fleet.register(replica, 'draining');
+  await sleep(forMs);
+  fleet.register(replica);
+}
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -114,10 +114,10 @@
   }
 
   /** What the replica writes of itself into the store. */
-  entry(host: string, state: 'ready' | 'draining' = 'ready'): unknown {
+  entry(host: string, state: 'ready' | 'draining' = 'ready', port = this.port): unknown {
     return {
       service: this.service,
-      address: `${host}:${this.port}`,
+      address: `${host}:${port}`,
       zone: this.zone,
       version: 'v1',
       slots: 8,
