--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -5,7 +5,7 @@
 import {join} from 'node:path';
 import {MetadataStore} from '../../stand_ins/users_platform/metadata_store.ts';
 import {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
-import {LoopbackProxy} from '../../soak/loopback_proxy.ts';
+import {LoopbackProxy} from './loopback_proxy.ts';
 import {FleetProcess, freePort, until} from './fleet_process.ts';
 
 export const HOST = 'tables.example';
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -3,7 +3,7 @@
 import type {FleetProcess} from '../features/support/fleet_process.ts';
 import type {UsersFleet} from '../features/support/users_fleet.ts';
 import type {ReplicaFault, UsersReplica} from '../stand_ins/users_platform/replica.ts';
-import type {LinkState, LoopbackProxy} from './loopback_proxy.ts';
+import type {LinkState, LoopbackProxy} from '../features/support/loopback_proxy.ts';
 
 export type FaultKind =
   | 'pause gateway'
