--- a/apps/entry/src/wire.ts
+++ b/apps/entry/src/wire.ts
@@ -165,9 +165,7 @@
     if (dispatcher.receive(replica, message)) return;
     const link = replica.client.link;
     if (link !== undefined && config.spreader.receive(link, message)) return;
-    if (message.type !== 'suspect') return;
-    if (message.cleared) suspects.clear(message.fingerprint);
-    else suspects.report(message.fingerprint, message.crashes, clock.monotonicMs());
+    if (message.type === 'suspect') suspects.take(message, clock.monotonicMs());
   }
 
   function onServerMessage(link: MeshLink, message: MeshMessage): void {
--- a/apps/gateway/src/lib/crash_watch.ts
+++ b/apps/gateway/src/lib/crash_watch.ts
@@ -1,6 +1,5 @@
 /** Finds requests that crash the replicas which run them, and keeps them from further replicas. */
-import {createHash} from 'node:crypto';
-import type {Clock, Logger} from '@jasminepost/core';
+import {sha256Hex, type Clock, type Logger} from '@jasminepost/core';
 import type {SuspectMessage} from '@jasminepost/mesh';
 import {decideQuarantine, SuspectList} from '@jasminepost/policy';
 import type {Replica} from './replica.ts';
@@ -47,12 +46,9 @@
 
   /** Time for which a request must reach no replica; 0 when it may. */
   heldBackMs(request: RepeatableRequest): number {
-    if (this.suspects.size === 0) return 0;
-    const decision = decideQuarantine(
-      this.suspects,
-      fingerprintOf(request),
-      this.ctx.clock.monotonicMs(),
-    );
+    const nowMs = this.ctx.clock.monotonicMs();
+    if (this.suspects.isEmpty(nowMs)) return 0;
+    const decision = decideQuarantine(this.suspects, fingerprintOf(request), nowMs);
     return decision.kind === 'refuse' ? decision.retryAfterMs : 0;
   }
 
@@ -65,10 +61,11 @@
 
   /** A request that a replica has run to its end crashes none. */
   onServed(request: RepeatableRequest): void {
-    if (this.cuts.length === 0 && this.suspects.size === 0) return;
+    const nowMs = this.ctx.clock.monotonicMs();
+    if (this.cuts.length === 0 && this.suspects.isEmpty(nowMs)) return;
     const fingerprint = fingerprintOf(request);
     this.cuts = this.cuts.filter(cut => cut.fingerprint !== fingerprint);
-    if (this.suspects.crashesOf(fingerprint, this.ctx.clock.monotonicMs()) === 0) return;
+    if (this.suspects.crashesOf(fingerprint, nowMs) === 0) return;
     this.suspects.clear(fingerprint);
     this.ctx.log.info('suspect cleared', {fingerprint});
     this.ctx.announce({type: 'suspect', fingerprint, crashes: 0, cleared: true});
@@ -82,9 +79,8 @@
   }
 
   /** Takes in what another gateway has found. */
-  take({fingerprint, crashes, cleared}: SuspectMessage): void {
-    if (cleared) this.suspects.clear(fingerprint);
-    else this.suspects.report(fingerprint, crashes, this.ctx.clock.monotonicMs());
+  take(message: SuspectMessage): void {
+    this.suspects.take(message, this.ctx.clock.monotonicMs());
   }
 
   dispose(): void {
@@ -116,6 +112,6 @@
 
 /** The same for each time that a caller sends the request. */
 function fingerprintOf({method, path, body}: RepeatableRequest): string {
-  const hash = createHash('sha256').update(`${method} ${path}\n`).update(body);
-  return hash.digest('hex').slice(0, FINGERPRINT_DIGITS);
+  const digest = sha256Hex(Buffer.concat([Buffer.from(`${method} ${path}\n`), body]));
+  return digest.slice(0, FINGERPRINT_DIGITS);
 }
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -75,10 +75,8 @@
 export class EngineLine {
   /** Waiting requests and what kept each of them from being sent. */
   private readonly members = new Map<LineMember, Placing>();
-  /** Waiting requests by `service/model`. */
-  private readonly lengths = new Map<string, number>();
-  /** By `service/model/rank`. */
-  private readonly lines = new Map<string, RankLine>();
+  /** Lines of each `service/model`, by rank. */
+  private readonly lines = new Map<string, Map<number, RankLine>>();
   private sweepTimer: NodeJS.Timeout | undefined;
   private pumpPending = false;
 
@@ -129,7 +127,12 @@
 
   /** Requests that wait, by `service/model`. */
   waitingByModel(): ReadonlyMap<string, number> {
-    return this.lengths;
+    const counts = new Map<string, number>();
+    for (const model of this.lines.keys()) {
+      const length = this.lengthFor(model);
+      if (length > 0) counts.set(model, length);
+    }
+    return counts;
   }
 
   /** Looks at the line once more after the current events have been handled. */
@@ -151,7 +154,6 @@
     const line = this.lineOf(member);
     line.length += 1;
     line.pace.onWaiting(nowMs);
-    this.lengths.set(modelKey(member), this.lengthFor(member) + 1);
     this.sweepTimer ??= setInterval(() => this.pump(), SWEEP_MS);
   }
 
@@ -160,9 +162,6 @@
     const line = this.lineOf(member);
     line.length -= 1;
     if (line.length === 0) line.pace.onEmpty();
-    const length = this.lengthFor(member) - 1;
-    if (length > 0) this.lengths.set(modelKey(member), length);
-    else this.lengths.delete(modelKey(member));
   }
 
   private pump(): void {
@@ -239,7 +238,7 @@
     const choice = chooseEngine(candidates, this.needOf(generation));
     if (choice.kind !== 'chosen') return 'full';
     // Itself may be one of those that wait.
-    const othersWait = this.lengthFor(member) > 1;
+    const othersWait = this.lengthFor(modelKey(member)) > 1;
     if (othersWait && isLateBehind(member, choice.backlogMs, nowMs)) return 'late_here';
     const candidate = candidates[choice.index];
     const replica = able[choice.index];
@@ -286,9 +285,9 @@
   /** Requests of its model that go first; a wait for an adapter is short and holds up nobody else. */
   private countAhead(member: LineMember): {ahead: number; aheadInRank: number} {
     const counts = {ahead: 0, aheadInRank: 0};
-    if (this.lengthFor(member) === 0) return counts;
-    const nowMs = this.ctx.clock.monotonicMs();
     const model = modelKey(member);
+    if (this.lengthFor(model) === 0) return counts;
+    const nowMs = this.ctx.clock.monotonicMs();
     for (const [other, placing] of this.members) {
       if (placing === 'adapter' || modelKey(other) !== model) continue;
       if (compareWaiting(other, member, nowMs) > 0) continue;
@@ -298,18 +297,23 @@
     return counts;
   }
 
-  private lengthFor(member: LineMember): number {
-    return this.lengths.get(modelKey(member)) ?? 0;
+  /** Requests that wait for a `service/model`. */
+  private lengthFor(model: string): number {
+    let length = 0;
+    for (const line of this.lines.get(model)?.values() ?? []) length += line.length;
+    return length;
   }
 
   private lineOf(member: LineMember): RankLine {
-    const key = rankKey(member);
-    let line = this.lines.get(key);
+    const key = modelKey(member);
+    const ranks = this.lines.get(key) ?? new Map<number, RankLine>();
+    this.lines.set(key, ranks);
+    let line = ranks.get(member.priority);
     if (line === undefined) {
       const {model, tokensIn} = member.generation;
       const pace = new DrainPace(this.ctx.estimator.estimateMs(model, tokensIn));
       line = {length: 0, pace};
-      this.lines.set(key, line);
+      ranks.set(member.priority, line);
     }
     return line;
   }
@@ -336,10 +340,6 @@
   return `${service}/${generation.model}`;
 }
 
-function rankKey(member: LineMember): string {
-  return `${modelKey(member)}/${member.priority}`;
-}
-
 function returnMs(waitMs: number): number {
   const boundedMs = Number.isFinite(waitMs) ? waitMs : 1000;
   return Math.max(MIN_RETURN_MS, boundedMs) + Math.random() * RETURN_SPREAD_MS;
--- a/apps/gateway/src/lib/steward_links.ts
+++ b/apps/gateway/src/lib/steward_links.ts
@@ -135,9 +135,7 @@
   private receive(link: StewardLink, message: MeshMessage): void {
     switch (message.type) {
       case 'engine_state':
-        link.state = message;
-        for (const replica of link.replicas) replica.state = message;
-        this.ctx.onChanged();
+        this.setState(link, message);
         return;
       case 'engine_load':
         link.client.silenceLimitMs = Math.max(MIN_SILENCE_MS, MISSED_LOADS * message.nextMs);
@@ -151,9 +149,13 @@
 
   private lose(host: string, link: StewardLink, fault: LinkFault): void {
     this.ctx.log.warn('steward lost', {host, fault});
-    link.state = undefined;
-    for (const replica of link.replicas) replica.state = undefined;
     link.wishes.clear();
+    this.setState(link, undefined);
+  }
+
+  private setState(link: StewardLink, state: EngineStateMessage | undefined): void {
+    link.state = state;
+    for (const replica of link.replicas) replica.state = state;
     this.ctx.onChanged();
   }
 
--- a/apps/sidecar/src/lib/peer_desk.ts
+++ b/apps/sidecar/src/lib/peer_desk.ts
@@ -74,7 +74,6 @@
 
   private takeSuspect(message: SuspectMessage): void {
     const {clock, suspects} = this.context;
-    if (message.cleared) suspects.clear(message.fingerprint);
-    else suspects.report(message.fingerprint, message.crashes, clock.monotonicMs());
+    suspects.take(message, clock.monotonicMs());
   }
 }
--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -27,6 +27,8 @@
 const PREPARE_RETRY_MS = 700;
 /** Sizes of models change rarely; an unknown model is looked up after this at the earliest. */
 const SPEC_VALID_MS = 10_000;
+/** A day: sizes are read again when a placement names an unknown model. */
+const SPEC_IDLE_MS = 86_400_000;
 
 /** Starts a steward; resolves once it listens. */
 export async function startSteward(settings: StewardSettings): Promise<void> {
@@ -140,6 +142,3 @@
     admin.close();
   });
 }
-
-/** A day: sizes are read again when a placement names an unknown model. */
-const SPEC_IDLE_MS = 86_400_000;
--- a/features/support/order_history.ts
+++ b/features/support/order_history.ts
@@ -80,6 +80,10 @@
   }
 }
 
+function newHistory(): OrderHistory {
+  return {overMemory: 0, overPlaces: 0, wrongSequence: 0, carriedOut: 0, fences: []};
+}
+
 /** Plays one history in real time, some hundred milliseconds long. */
 export async function runOrderHistory(
   wishes: number,
@@ -88,13 +92,7 @@
   seed: number,
 ): Promise<OrderHistory> {
   const random = new SeededRandom(seed).uniform;
-  const history: OrderHistory = {
-    overMemory: 0,
-    overPlaces: 0,
-    wrongSequence: 0,
-    carriedOut: 0,
-    fences: [],
-  };
+  const history = newHistory();
   const engine = new FakeEngine(history);
   const deliver = async (order: EngineOrder): Promise<OrderOutcome> => {
     if (fault === 'carried out' || random() > FAULT_SHARE) return engine.take(order);
@@ -117,13 +115,7 @@
 
 /** Sends placements of the given terms, each for another model; returns what was loaded. */
 export async function placeInTerms(terms: readonly number[]): Promise<string[]> {
-  const history: OrderHistory = {
-    overMemory: 0,
-    overPlaces: 0,
-    wrongSequence: 0,
-    carriedOut: 0,
-    fences: [],
-  };
+  const history = newHistory();
   const engine = new FakeEngine(history);
   const desk = await deskOf(engine, history, order => Promise.resolve(engine.take(order)));
   for (const [index, term] of terms.entries()) {
@@ -194,7 +186,6 @@
 
 const SPEC: EngineSpec = {
   slots: 8,
-  kvTokens: 1000,
   weightsMb: WEIGHTS_MB,
   adapterSlots: PLACES,
   loadsPerS: 1,
--- a/packages/key_value/src/index.ts
+++ b/packages/key_value/src/index.ts
@@ -18,4 +18,9 @@
   type PlanDocument,
 } from './lib/plan_document.ts';
 export {TermLease} from './lib/term_lease.ts';
-export {callStore, type StoreHttpCall, type StoreHttpReply} from './lib/store_http.ts';
+export {
+  StoreConnection,
+  type StoreConnectionLimits,
+  type StoreHttpReply,
+  type StoreWatchWait,
+} from './lib/store_http.ts';
--- a/packages/key_value/src/lib/key_value_client.ts
+++ b/packages/key_value/src/lib/key_value_client.ts
@@ -1,11 +1,10 @@
 /** Client of the platform's key-value service; see docs/contracts/key_value.md. */
-import {Agent} from 'undici';
 import {z} from 'zod';
 import {PlatformError, type CounterFamily} from '@jasminepost/core';
 import type {KeyValueStore, StoredEntry, WriteOutcome} from './key_value_store.ts';
-import {callStore} from './store_http.ts';
+import {StoreConnection, type StoreWatchWait} from './store_http.ts';
 
-const CALL_TIMEOUT_MS = 2000;
+const CONNECTION_LIMITS = {connections: 4, connectMs: 1000, callMs: 2000};
 /** Added to a watch's own wait so that the service answers first. */
 const WATCH_GRACE_MS = 2000;
 
@@ -37,14 +36,11 @@
  * @public
  */
 export class KeyValueClient implements KeyValueStore {
-  private readonly agent = new Agent({connections: 4, pipelining: 1, connect: {timeout: 1000}});
-  /** Watches wait long; they must not hold up the other calls. */
-  private readonly watchAgent = new Agent({connections: null, connect: {timeout: 1000}});
+  private readonly connection: StoreConnection<KeyValueCall>;
 
-  constructor(
-    private readonly baseUrl: string,
-    private readonly calls: CounterFamily<KeyValueCall>,
-  ) {}
+  constructor(baseUrl: string, calls: CounterFamily<KeyValueCall>) {
+    this.connection = new StoreConnection(baseUrl, calls, CONNECTION_LIMITS);
+  }
 
   /** Reads one key. */
   async get(key: string): Promise<KeyValueEntry | null> {
@@ -110,7 +106,7 @@
   }
 
   async close(): Promise<void> {
-    await Promise.all([this.agent.destroy(), this.watchAgent.destroy()]);
+    await this.connection.close();
   }
 
   private async call(
@@ -118,18 +114,9 @@
     method: 'GET' | 'PUT' | 'POST',
     path: string,
     body?: object,
-    watch?: {timeoutMs: number; signal: AbortSignal},
+    watch?: StoreWatchWait,
   ): Promise<Reply> {
-    this.calls.increment(kind);
-    const {status, text} = await callStore({
-      name: kind,
-      method,
-      url: this.baseUrl + path,
-      body,
-      dispatcher: watch === undefined ? this.agent : this.watchAgent,
-      timeoutMs: watch?.timeoutMs ?? CALL_TIMEOUT_MS,
-      signal: watch?.signal,
-    });
+    const {status, text} = await this.connection.call(kind, method, path, body, watch);
     if (status === 400) throw new PlatformError('rejected', `${kind} ${path}: ${text}`);
     return {status, body: text === '' ? undefined : (JSON.parse(text) as unknown)};
   }
--- a/packages/key_value/src/lib/store_http.ts
+++ b/packages/key_value/src/lib/store_http.ts
@@ -1,12 +1,13 @@
-/** One HTTP call to a key-value service, with what a failure says about its effect. */
-import {request, type Dispatcher} from 'undici';
-import {messageOf, neverSent, PlatformError} from '@jasminepost/core';
+/** HTTP calls to a key-value service, with what a failure says about its effect. */
+import {Agent, request, type Dispatcher} from 'undici';
+import {messageOf, neverSent, PlatformError, type CounterFamily} from '@jasminepost/core';
 
-/** @public */
-export interface StoreHttpCall {
+type Method = 'GET' | 'PUT' | 'POST';
+
+interface StoreHttpCall {
   /** Shown in errors. */
   readonly name: string;
-  readonly method: 'GET' | 'PUT' | 'POST';
+  readonly method: Method;
   readonly url: string;
   readonly body: object | undefined;
   readonly dispatcher: Dispatcher;
@@ -20,15 +21,69 @@
   readonly text: string;
 }
 
-/**
- * Makes the call and reads the answer.
- *
- * @throws PlatformError `unavailable` when nothing was done, `unknown_outcome` otherwise.
- * @example
- * const {status, text} = await callStore({name: 'get', method: 'GET', url, ...});
- * @public
- */
-export async function callStore(call: StoreHttpCall): Promise<StoreHttpReply> {
+/** @public */
+export interface StoreConnectionLimits {
+  /** Connections for calls other than watches. */
+  readonly connections: number;
+  readonly connectMs: number;
+  readonly callMs: number;
+}
+
+/** A call that waits for changes. @public */
+export interface StoreWatchWait {
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Counts and makes the calls of one client. @public */
+export class StoreConnection<Kind extends string> {
+  private readonly agent: Agent;
+  /** Watches wait long; they must not hold up the other calls. */
+  private readonly watchAgent: Agent;
+
+  constructor(
+    private readonly origin: string,
+    private readonly calls: CounterFamily<Kind>,
+    private readonly limits: StoreConnectionLimits,
+  ) {
+    const {connections, connectMs} = limits;
+    this.agent = new Agent({connections, pipelining: 1, connect: {timeout: connectMs}});
+    this.watchAgent = new Agent({connect: {timeout: connectMs}});
+  }
+
+  /**
+   * Makes a call and reads the answer.
+   *
+   * @param watch - Given for a call that waits for changes.
+   * @throws PlatformError `unavailable` when nothing was done, `unknown_outcome` otherwise.
+   * @example
+   * const {status, text} = await connection.call('get', 'GET', '/v1/kv?key=a');
+   */
+  async call(
+    kind: Kind,
+    method: Method,
+    path: string,
+    body?: object,
+    watch?: StoreWatchWait,
+  ): Promise<StoreHttpReply> {
+    this.calls.increment(kind);
+    return callStore({
+      name: kind,
+      method,
+      url: this.origin + path,
+      body,
+      dispatcher: watch === undefined ? this.agent : this.watchAgent,
+      timeoutMs: watch?.timeoutMs ?? this.limits.callMs,
+      signal: watch?.signal,
+    });
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.agent.destroy(), this.watchAgent.destroy()]);
+  }
+}
+
+async function callStore(call: StoreHttpCall): Promise<StoreHttpReply> {
   const {name, method, url, body, dispatcher, timeoutMs, signal} = call;
   const timeout = AbortSignal.timeout(timeoutMs);
   let reply: StoreHttpReply;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,7 +13,12 @@
   type AdmissionLimits,
   type Ticket,
 } from './lib/admission.ts';
-export {decideQuarantine, SuspectList, type QuarantineDecision} from './lib/quarantine.ts';
+export {
+  decideQuarantine,
+  SuspectList,
+  type QuarantineDecision,
+  type SuspectNews,
+} from './lib/quarantine.ts';
 export {
   MemoryLedger,
   type EngineResidency,
--- a/packages/policy/src/lib/quarantine.ts
+++ b/packages/policy/src/lib/quarantine.ts
@@ -11,6 +11,14 @@
   | {readonly kind: 'isolate'; readonly crashes: number}
   | {readonly kind: 'refuse'; readonly retryAfterMs: number};
 
+/** What one process tells the others of a fingerprint. @public */
+export interface SuspectNews {
+  readonly fingerprint: string;
+  readonly crashes: number;
+  /** True when it has run to its end since. */
+  readonly cleared: boolean;
+}
+
 interface Suspicion {
   readonly crashes: number;
   readonly reportedMs: number;
@@ -39,6 +47,12 @@
     return true;
   }
 
+  /** Takes in what another process has found. */
+  take({fingerprint, crashes, cleared}: SuspectNews, nowMs: number): void {
+    if (cleared) this.clear(fingerprint);
+    else this.report(fingerprint, crashes, nowMs);
+  }
+
   /** Forgets a fingerprint that ran to its end alone. */
   clear(fingerprint: string): void {
     this.suspects.delete(fingerprint);
@@ -66,6 +80,15 @@
       .map(([fingerprint, {crashes}]) => ({fingerprint, crashes}));
   }
 
+  /** True when nothing is suspected; lapsed suspicions are dropped, the oldest of which is first. */
+  isEmpty(nowMs: number): boolean {
+    for (const [fingerprint, {untilMs}] of this.suspects) {
+      if (untilMs > nowMs) return false;
+      this.suspects.delete(fingerprint);
+    }
+    return true;
+  }
+
   get size(): number {
     return this.suspects.size;
   }
--- a/packages/serving/src/lib/fleet_config.ts
+++ b/packages/serving/src/lib/fleet_config.ts
@@ -46,7 +46,6 @@
 /** What every replica of a model service can hold and run. @public */
 export interface EngineSpec {
   readonly slots: number;
-  readonly kvTokens: number;
   /** Memory for weights and adapters together. */
   readonly weightsMb: number;
   readonly adapterSlots: number;
--- a/packages/serving/src/lib/generation.ts
+++ b/packages/serving/src/lib/generation.ts
@@ -13,8 +13,6 @@
   readonly adapter: string;
   readonly tokensIn: number;
   readonly maxTokensOut: number;
-  /** The caller's estimate of the tokens out; 0 when not given. */
-  readonly lengthHint: number;
   /** In the order of the prompt; the last part is the request's own. */
   readonly parts: readonly PromptPart[];
 }
@@ -25,6 +23,5 @@
   adapter: '',
   tokensIn: 0,
   maxTokensOut: 0,
-  lengthHint: 0,
   parts: [],
 };
