Take SIGHUP from a program's first line on

Ruled out: a static import placed first, since modules that stay outside the bundle are loaded before any line of it runs.

Change: a module without imports takes the signal and remembers one that comes early; the rest of the program is loaded after it, from files of their own. Gateway and steward handle a remembered signal once they have started.

Between the start of Node itself and the first line of a program (about 40 ms) the signal still ends it.

--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -4,6 +4,7 @@
   createLogger,
   installStopSignals,
   messageOf,
+  onReloadSignal,
   SettingsError,
   SystemClock,
   type Logger,
@@ -155,7 +156,7 @@
   await admin.tryListen({host: own.ip, port: settings.metricsPort}, log);
   log.info('started', {zone: own.zone, ip: own.ip, graceMs: own.bounds.graceMs});
 
-  process.on('SIGHUP', () => reload(settings, log));
+  onReloadSignal(() => reload(settings, log));
   installStopSignals(async () => {
     await stop.run();
     planner.dispose();
--- a/apps/steward/src/main.ts
+++ b/apps/steward/src/main.ts
@@ -1,7 +1,10 @@
 /** jasminepost-steward: reports on the model replica beside it and gives it its orders. */
-import {runProgram} from '@jasminepost/core';
-import {checkStewardSettings, STEWARD_SETTINGS} from './settings.ts';
-import {startSteward} from './wire.ts';
+import '@jasminepost/core/reload_signal';
+
+// The rest takes long to load; a SIGHUP may come first.
+const {runProgram} = await import('@jasminepost/core');
+const {checkStewardSettings, STEWARD_SETTINGS} = await import('./settings.ts');
+const {startSteward} = await import('./wire.ts');
 
 void runProgram('jasminepost-steward', STEWARD_SETTINGS, raw =>
   startSteward(checkStewardSettings(raw)),
--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -5,6 +5,7 @@
   installStopSignals,
   messageOf,
   MetricRegistry,
+  onReloadSignal,
   RepeatingTask,
   SystemClock,
 } from '@jasminepost/core';
@@ -131,9 +132,7 @@
   await admin.tryListen({host: own.ip, port: settings.metricsPort}, log);
   log.info('started', {zone: own.zone, service: own.service, replica: settings.replica.host});
 
-  process.on('SIGHUP', () =>
-    log.info('settings file changed; addresses hold until the next start'),
-  );
+  onReloadSignal(() => log.info('settings file changed; addresses hold until the next start'));
   installStopSignals(async () => {
     log.info('stopped', {});
     watch.dispose();
--- /dev/null
+++ b/features/steps/start_signal_steps.ts
@@ -0,0 +1,81 @@
+/** Steps about signals that reach a program while it starts. */
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {connect} from 'node:net';
+import {Then, When} from '@cucumber/cucumber';
+import {until, type FleetProcess} from '../support/fleet_process.ts';
+import {of} from '../support/users_notes.ts';
+import type {UsersFleet} from '../support/users_fleet.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+type Program = 'gateway' | 'steward';
+
+interface StartNote {
+  readonly process: FleetProcess;
+  readonly wasListening: boolean;
+}
+
+const START_MS = 15_000;
+const HANDLED: Readonly<Record<Program, string>> = {
+  gateway: 'settings read again',
+  steward: 'settings file changed',
+};
+const starts = new WeakMap<FleetWorld, StartNote & {readonly program: Program}>();
+
+When(
+  'a {word} starts again and gets a reload signal as soon as it takes one',
+  async function (this: FleetWorld, program: Program) {
+    const {fleet} = of(this);
+    const process = await startAgain(fleet, program);
+    await until('a handler of SIGHUP', START_MS, async () => catchesHup(process.pid) || undefined);
+    const wasListening = await listens(...meshAddress(fleet, program));
+    process.signal('SIGHUP');
+    starts.set(this, {process, wasListening, program});
+  },
+);
+
+Then('it was not listening yet', function (this: FleetWorld) {
+  assert.equal(starts.get(this)!.wasListening, false);
+});
+
+Then('it handles the signal once it has started', async function (this: FleetWorld) {
+  const {process, program} = starts.get(this)!;
+  await until('the signal handled', START_MS, async () => {
+    if (!process.running) assert.fail(`ended with ${process.exitCode}`);
+    return process.log.join('').includes(HANDLED[program]) || undefined;
+  });
+});
+
+async function startAgain(fleet: UsersFleet, program: Program): Promise<FleetProcess> {
+  if (program === 'gateway') {
+    await fleet.gateways[0].process.kill();
+    fleet.restartGateway(0);
+    return fleet.gateways[0].process;
+  }
+  await fleet.stewards[0].kill();
+  fleet.restartSteward(0);
+  return fleet.stewards[0];
+}
+
+function meshAddress(fleet: UsersFleet, program: Program): [string, number] {
+  const ip = program === 'gateway' ? fleet.gateways[0].ip : fleet.hostOf(fleet.engines[0]);
+  return [ip, fleet.meshPort];
+}
+
+/** Reads the kernel's mask of caught signals, in which SIGHUP is the lowest bit. */
+function catchesHup(pid: number): boolean {
+  const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
+  return mask !== null && (BigInt(`0x${mask[1]}`) & 1n) === 1n;
+}
+
+function listens(host: string, port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = connect({host, port});
+    const finish = (found: boolean) => {
+      socket.destroy();
+      resolve(found);
+    };
+    socket.once('connect', () => finish(true));
+    socket.once('error', () => finish(false));
+  });
+}
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -63,7 +63,8 @@
   private readonly hosts = new Map<UsersReplica, string>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'jasminepost-users-'));
   private storeAddress = '';
-  private meshPort = 0;
+  /** Port of the mesh on every machine. */
+  meshPort = 0;
   private version = 1;
   private lastId = 0;
 
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -162,6 +162,17 @@
       | no address for callers | listenAddrs.front        |
       | a text as a bound     | bounds.drainMs           |
 
+  Scenario Outline: a reload signal while a <program> starts
+    Given a users' fleet of 0 service replicas, 1 engines and 1 gateway
+    When a <program> starts again and gets a reload signal as soon as it takes one
+    Then it was not listening yet
+    And it handles the signal once it has started
+
+    Examples:
+      | program |
+      | gateway |
+      | steward |
+
   Scenario: a request that crashes the replicas which run it
     Given a users' fleet of 5 service replicas, 0 engines and 2 gateway
     And an order with the body "crash" crashes its replica
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,6 +23,7 @@
 export {fnv1a32, sha256Hex} from './lib/hashing.ts';
 export {backoffMs, sleep} from './lib/backoff.ts';
 export {AdminServer, type AdminState} from './lib/admin_server.ts';
+export {onReloadSignal} from './lib/reload_signal.ts';
 export {installStopSignals} from './lib/stop_signals.ts';
 export {
   COMPLETED_REASONS,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -58,6 +58,9 @@
   platform: 'node',
   target: 'node20',
   format: 'esm',
+  // What a program imports later is a file of its own, so that its first lines run at once.
+  splitting: true,
+  chunkNames: 'chunks/[hash]',
   sourcemap: true,
   // Less to read at each start; names stay for the stack traces.
   minifyWhitespace: bundled,
