Tell a replica's load closely only to gateways that send requests there

Ruled out: fewer reports for everybody, since a gateway that sends there needs them to leave a busy replica alone.

Change: a gateway tells a steward, once a second, that it sends requests there; the steward tells these as closely as before and all others every 2 s. A report is valid for two of its intervals.

The table of messages per audience is a test.

--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -58,6 +58,8 @@
   isClosing(): boolean;
   /** True when the replica's steward can load an adapter now. */
   canLoadAdapter(replica: Replica): boolean;
+  /** Tells a replica's steward that requests are sent there. */
+  showInterest(replica: Replica): void;
   /** Asks a replica's steward for an adapter, or tells it that one is in use. */
   wishAdapter(replica: Replica, model: string, adapter: string): void;
 }
@@ -258,6 +260,7 @@
     const {length, pace} = this.lineOf(member);
     const isWaiting = this.members.has(member);
     pace.onSent(this.ctx.clock.monotonicMs(), isWaiting ? length - 1 : length);
+    this.ctx.showInterest(replica);
     member.send(replica, {
       unstarted: candidate.unstarted,
       occupied: candidate.occupied,
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -5,8 +5,8 @@
 import {Circuit, type EngineCandidate, type RouteCandidate} from '@jasminepost/policy';
 import type {HeldModel, ReplicaEntry, WeightCopies} from '@jasminepost/serving';
 
-/** A steward's load report older than this says nothing of the replica's load now. */
-const LOAD_VALID_MS = 1500;
+/** A steward's load report that is older than two of its intervals says nothing of the load now. */
+const LOAD_VALID_INTERVALS = 2;
 /** Start of the estimate of one request's time at a plain service. */
 const INITIAL_SERVICE_MS = 50;
 /** Start of the estimate of the time up to a first event. */
@@ -101,7 +101,8 @@
   }
 
   asEngineCandidate(adapter: string, model: string, slots: number, nowMs: number): EngineCandidate {
-    const known = nowMs - this.loadMs < LOAD_VALID_MS ? this.load : undefined;
+    const validMs = LOAD_VALID_INTERVALS * (this.load?.nextMs ?? 0);
+    const known = nowMs - this.loadMs < validMs ? this.load : undefined;
     const since = (own: 'inFlight' | 'unstarted' | 'kvTokens', reported: number) =>
       known === undefined
         ? this[own]
--- a/apps/gateway/src/lib/steward_links.ts
+++ b/apps/gateway/src/lib/steward_links.ts
@@ -17,6 +17,9 @@
 const MIN_SILENCE_MS = 2000;
 /** A steward is told at most this often that an adapter is in use. */
 const WISH_INTERVAL_MS = 250;
+/** A steward is told this often that requests are sent to its replica, and for how long it holds. */
+const INTEREST_INTERVAL_MS = 1000;
+const INTEREST_VALID_MS = 2500;
 
 interface StewardLink {
   readonly client: MeshClient;
@@ -25,6 +28,8 @@
   state: EngineStateMessage | undefined;
   /** When each adapter was last wished for. */
   readonly wishes: Map<string, number>;
+  /** When it was last told that requests are sent to its replica. */
+  interestMs: number;
 }
 
 /** @internal */
@@ -93,6 +98,15 @@
     link.client.link?.send({type: 'adapter_wish', model, adapter});
   }
 
+  /** Tells a replica's steward that requests are sent there, so that it tells its load closely. */
+  showInterest(replica: Replica): void {
+    const link = this.byHost.get(replica.entry.address.host);
+    const nowMs = this.ctx.clock.monotonicMs();
+    if (link === undefined || nowMs - link.interestMs < INTEREST_INTERVAL_MS) return;
+    link.interestMs = nowMs;
+    link.client.link?.send({type: 'load_interest', validMs: INTEREST_VALID_MS});
+  }
+
   place(replica: Replica, message: PlacementMessage): boolean {
     const link = this.byHost.get(replica.entry.address.host);
     return link?.client.link?.send(message) ?? false;
@@ -112,6 +126,7 @@
       {
         onUp: () => {
           this.ctx.log.info('steward linked', {host});
+          link.interestMs = Number.NEGATIVE_INFINITY;
           for (const replica of link.replicas) this.identify(link, replica);
         },
         onMessage: (_client, message) => this.receive(link, message),
@@ -125,6 +140,7 @@
       replicas: new Set(),
       state: undefined,
       wishes: new Map(),
+      interestMs: Number.NEGATIVE_INFINITY,
     };
     this.byHost.set(host, link);
     return link;
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -86,6 +86,7 @@
     engineOf,
     isClosing: () => stop.closing,
     canLoadAdapter: replica => links.canLoadAdapter(replica),
+    showInterest: replica => links.showInterest(replica),
     wishAdapter: (replica, model, adapter) => links.wishAdapter(replica, model, adapter),
   });
   const budgets = new RetryBudgets({
--- a/apps/steward/src/lib/engine_watch.ts
+++ b/apps/steward/src/lib/engine_watch.ts
@@ -3,25 +3,21 @@
 import type {EngineLoadMessage, EngineStateMessage, MeshMessage} from '@jasminepost/mesh';
 import type {LoadAccount} from '@jasminepost/policy';
 import type {EngineReport} from '@jasminepost/serving';
+import {LOAD_AUDIENCES, type LoadAudience} from './load_interest.ts';
 
 /** Reports come from the same instance and are free but for the time to read them. */
 const POLL_MS = 100;
-/**
- * Gateways hear of load this often when it changes, those of other availability zones less often:
- * they send less here, and bytes between zones are dear. All hear of it at least this often.
- */
-const LOAD_INTERVAL_MS = 90;
-const FAR_LOAD_INTERVAL_MS = 380;
-const LOAD_HEARTBEAT_MS = 800;
+/** Gateways hear of load this often when it changes, and at least once in the second time. */
+const LOAD_TIMES: Readonly<Record<LoadAudience, {intervalMs: number; heartbeatMs: number}>> = {
+  near: {intervalMs: 90, heartbeatMs: 800},
+  far: {intervalMs: 380, heartbeatMs: 800},
+  idle: {intervalMs: 2000, heartbeatMs: 2000},
+};
 /** Failed reports in a row after which the replica counts as down. */
 const FAILURES_TO_DOWN = 2;
 
-/** Gateways of the steward's availability zone, and those of other zones. @internal */
-export type LoadAudience = 'own_zone' | 'other_zones';
-
 /** What an audience was told of the replica's load last. */
 interface LoadTold {
-  readonly intervalMs: number;
   text: string;
   sentMs: number;
 }
@@ -32,8 +28,7 @@
   readonly log: Logger;
   report(): Promise<Result<EngineReport, string>>;
   broadcast(message: MeshMessage): void;
-  /** Sends to the gateways of this availability zone, or to all others. */
-  sendToZone(where: LoadAudience, message: MeshMessage): void;
+  sendTo(audience: LoadAudience, message: MeshMessage): void;
   gateways(): number;
   moving(): string;
   unloading(): string;
@@ -52,8 +47,9 @@
   private failures = 0;
   private stateText = '';
   private readonly told: Readonly<Record<LoadAudience, LoadTold>> = {
-    own_zone: {intervalMs: LOAD_INTERVAL_MS, text: '', sentMs: Number.NEGATIVE_INFINITY},
-    other_zones: {intervalMs: FAR_LOAD_INTERVAL_MS, text: '', sentMs: Number.NEGATIVE_INFINITY},
+    near: {text: '', sentMs: Number.NEGATIVE_INFINITY},
+    far: {text: '', sentMs: Number.NEGATIVE_INFINITY},
+    idle: {text: '', sentMs: Number.NEGATIVE_INFINITY},
   };
   private timer: NodeJS.Timeout | undefined;
 
@@ -109,7 +105,7 @@
     };
   }
 
-  loadMessage(): EngineLoadMessage {
+  loadMessage(audience: LoadAudience): EngineLoadMessage {
     const {report} = this;
     return {
       type: 'engine_load',
@@ -119,7 +115,7 @@
       kvUsed: Math.round(report?.kvUsed ?? 0),
       kvTotal: Math.round(report?.kvTotal ?? 0),
       gateways: this.ctx.gateways(),
-      nextMs: LOAD_HEARTBEAT_MS,
+      nextMs: LOAD_TIMES[audience].heartbeatMs,
     };
   }
 
@@ -160,20 +156,20 @@
   }
 
   private publishLoad(): void {
-    this.tellLoad('own_zone');
-    this.tellLoad('other_zones');
+    for (const audience of LOAD_AUDIENCES) this.tellLoad(audience);
   }
 
-  private tellLoad(where: LoadAudience): void {
-    const told = this.told[where];
+  private tellLoad(audience: LoadAudience): void {
+    const told = this.told[audience];
+    const {intervalMs, heartbeatMs} = LOAD_TIMES[audience];
     const nowMs = this.ctx.clock.monotonicMs();
     const sinceMs = nowMs - told.sentMs;
-    if (sinceMs < told.intervalMs) return;
-    const load = this.loadMessage();
+    if (sinceMs < intervalMs) return;
+    const load = this.loadMessage(audience);
     const text = JSON.stringify(load);
-    if (text === told.text && sinceMs < LOAD_HEARTBEAT_MS) return;
+    if (text === told.text && sinceMs < heartbeatMs) return;
     told.text = text;
     told.sentMs = nowMs;
-    this.ctx.sendToZone(where, load);
+    this.ctx.sendTo(audience, load);
   }
 }
--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -10,7 +10,13 @@
   SystemClock,
 } from '@jasminepost/core';
 import {FenceCounter} from '@jasminepost/key_value';
-import {HelloGuard, MeshServer, type LinkFault, type MeshMessage} from '@jasminepost/mesh';
+import {
+  HelloGuard,
+  MeshServer,
+  type LinkFault,
+  type MeshLink,
+  type MeshMessage,
+} from '@jasminepost/mesh';
 import {
   CONFIG_KEY,
   decodeConfig,
@@ -20,6 +26,7 @@
 } from '@jasminepost/platform';
 import type {EngineSpec} from '@jasminepost/serving';
 import {EngineWatch} from './lib/engine_watch.ts';
+import {LoadInterest} from './lib/load_interest.ts';
 import {OrderDesk} from './lib/order_desk.ts';
 import type {StewardSettings} from './settings.ts';
 
@@ -48,6 +55,7 @@
   const control = new EngineControl(settings.replica, CONTROL_TIMEOUT_MS);
   const fence = new FenceCounter(store, own.id);
   let identity = {id: '', bornMs: 0};
+  const interest = new LoadInterest(own.zone);
   let spec: EngineSpec | undefined;
   let specReadMs = Number.NEGATIVE_INFINITY;
 
@@ -56,8 +64,9 @@
     log,
     report: () => control.report(),
     broadcast: message => mesh.broadcast(message),
-    sendToZone: (where, message) => {
-      mesh.broadcast(message, peer => (peer.zone === own.zone) === (where === 'own_zone'));
+    sendTo: (audience, message) => {
+      const nowMs = clock.monotonicMs();
+      mesh.broadcast(message, peer => interest.audienceOf(peer.id, peer.zone, nowMs) === audience);
     },
     gateways: () => mesh.links.size,
     moving: () => desk.moving,
@@ -85,15 +94,23 @@
       onLink: link => {
         log.info('gateway linked', {gateway: link.peer?.id ?? ''});
         link.send(watch.stateMessage());
-        link.send(watch.loadMessage());
+        link.send(watch.loadMessage('idle'));
+      },
+      onMessage: (link, message) => receive(link, message),
+      onLinkLost: (link, fault) => {
+        interest.forget(link.peer?.id ?? '');
+        log.info('gateway lost', {gateway: link.peer?.id ?? '', fault});
       },
-      onMessage: (_link, message) => receive(message),
-      onLinkLost: (link, fault) => log.info('gateway lost', {gateway: link.peer?.id ?? '', fault}),
     },
     linkFaults,
   );
-  const receive = (message: MeshMessage) => {
+  const receive = (link: MeshLink, message: MeshMessage) => {
     switch (message.type) {
+      case 'load_interest':
+        if (interest.note(link.peer?.id ?? '', message.validMs, clock.monotonicMs())) {
+          link.send(watch.loadMessage('near'));
+        }
+        return;
       case 'adapter_wish':
         desk.wishAdapter(message.model, message.adapter);
         return;
--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -59,6 +59,17 @@
     When a steward reserves order numbers twice while the store answers the first write late
     Then no number is smaller than one taken before
 
+  Scenario Outline: a gateway that is <audience> to a replica whose load changes all the time
+    When a steward tells of its replica's load for 20 s
+    Then a gateway that is <audience> hears of it at most <most> times a second
+    And at least every <gap> ms
+
+    Examples:
+      | audience | most | gap  |
+      | near     | 11   | 100  |
+      | far      | 2.7  | 400  |
+      | idle     | 0.55 | 2000 |
+
   Scenario: requests that wait while no new ones come
     When a gateway tells its demand twice while 3 requests wait and none is new
     Then the planner reads 3 waiting requests after each
--- a/features/steps/engine_policy_steps.ts
+++ b/features/steps/engine_policy_steps.ts
@@ -13,6 +13,8 @@
   type OrderHistory,
   type OrderFault,
 } from '../support/order_history.ts';
+import type {LoadAudience} from '../../apps/steward/src/lib/load_interest.ts';
+import {tellLoads, type LoadTelling} from '../support/load_telling.ts';
 import {runLoadHistories, type LoadOutcome} from '../support/load_history.ts';
 import {replay, type ReplayLoad, type ReplayOutcome} from '../support/engine_replay.ts';
 import {changeRole, type RoleChange} from '../support/role_change.ts';
@@ -31,6 +33,8 @@
 const fences = new WeakMap<FleetWorld, number[]>();
 const roleChanges = new WeakMap<FleetWorld, RoleChange>();
 const waitingRead = new WeakMap<FleetWorld, number[]>();
+const tellings = new WeakMap<FleetWorld, LoadTelling>();
+const toldAudience = new WeakMap<FleetWorld, LoadAudience>();
 const loadOutcomes = new WeakMap<FleetWorld, LoadOutcome>();
 const histories = new WeakMap<FleetWorld, OrderHistory>();
 
@@ -306,6 +310,27 @@
   },
 );
 
+When(
+  "a steward tells of its replica's load for {int} s",
+  async function (this: FleetWorld, seconds: number) {
+    tellings.set(this, await tellLoads(seconds));
+  },
+);
+
+Then(
+  'a gateway that is {word} hears of it at most {float} times a second',
+  function (this: FleetWorld, audience: LoadAudience, most: number) {
+    toldAudience.set(this, audience);
+    const perSecond = tellings.get(this)!.perSecond[audience];
+    assert.ok(perSecond <= most, String(perSecond));
+  },
+);
+
+Then('at least every {int} ms', function (this: FleetWorld, gapMs: number) {
+  const longestMs = tellings.get(this)!.longestGapMs[toldAudience.get(this)!];
+  assert.ok(longestMs <= gapMs, String(longestMs));
+});
+
 When('two processes seek a role and its holder becomes unfit', async function (this: FleetWorld) {
   roleChanges.set(this, await changeRole());
 });
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -203,6 +203,13 @@
   nextMs: count,
 });
 
+/** Tells a steward that the gateway sends requests to its replica. */
+const loadInterest = z.object({
+  type: z.literal('load_interest'),
+  /** Time for which the gateway wants to know the load closely. */
+  validMs: count,
+});
+
 /** Tells a steward which replica runs beside it, as the platform lists it. */
 const replicaIdentity = z.object({
   type: z.literal('replica_identity'),
@@ -263,6 +270,7 @@
   engineLoad,
   replicaIdentity,
   adapterWish,
+  loadInterest,
   placement,
   modelDemand,
 ]);
