Plan, follow and start through a silent store

Followers heard of the store's return up to 3 s late. Gateways that started 0.5 s before the return hung on their first read for 1.5 s and refused 256 requests without a time to return. Ruled out: refusals for want of copies alone; the same models had had several holders.

Change: TermLease knows the last term until the store says that it is over; the planner goes on with it unless another holder or a larger term at a steward is seen. A watch waits 1.5 s; after a failure a call that is answered at once asks for the store. Before the first answer the read is asked for again every 0.3 s. Requests that come before the first configuration wait up to 0.4 s for it, or are told when to come back.

--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -2,7 +2,7 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {readBody} from '@jasminepost/caller';
 import {exhaustive, listenOn, messageOf, type HostPort} from '@jasminepost/core';
-import {readCallerHead} from '@jasminepost/platform';
+import {readCallerHead, retryAfterHeader} from '@jasminepost/platform';
 import type {RouteTable} from '@jasminepost/serving';
 import {sendOwnAnswer} from './answer_relay.ts';
 import {CallerRequest} from './caller_request.ts';
@@ -10,6 +10,11 @@
 
 /** Largest head that is parsed at all; the configuration's own limit lies below. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/** Longest wait of a request that comes before the first configuration has been read. */
+const FIRST_CONFIG_WAIT_MS = 400;
+/** Time after which a gateway without a configuration has mostly read one. */
+const NO_CONFIG_RETURN_MS = 800;
+const RETURN_SPREAD_MS = 200;
 /** Connections that may wait to be accepted. */
 const BACKLOG = 1024;
 
@@ -20,15 +25,20 @@
   private routes: RouteTable | undefined;
   /** Requests whose body is still being read. */
   private reading = 0;
+  /** Requests that came before the first configuration. */
+  private readonly early = new Set<() => void>();
 
   constructor(private readonly ctx: () => GatewayContext) {
     this.server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true}, (req, res) => {
-      this.handle(req, res);
+      req.on('error', () => undefined);
+      // A caller that resets its connection is seen by the response's close event.
+      res.on('error', () => undefined);
+      this.handle(req, res, this.ctx().clock.monotonicMs());
     });
   }
 
   get busy(): number {
-    return this.running.size + this.reading;
+    return this.running.size + this.reading + this.early.size;
   }
 
   async listen(address: HostPort): Promise<void> {
@@ -41,6 +51,7 @@
     const {limits} = routes.config;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
     this.server.headersTimeout = limits.headerTimeoutMs;
+    for (const begin of [...this.early]) begin();
   }
 
   /** Stops listening and closes the connections that carry no request. */
@@ -57,15 +68,10 @@
     this.running.delete(request);
   }
 
-  private handle(req: IncomingMessage, res: ServerResponse): void {
-    const ctx = this.ctx();
-    const startedMs = ctx.clock.monotonicMs();
-    // A caller that resets its connection is seen by the response's close event.
-    req.on('error', () => undefined);
-    res.on('error', () => undefined);
+  private handle(req: IncomingMessage, res: ServerResponse, startedMs: number): void {
     const {routes} = this;
     if (routes === undefined) {
-      this.reject(req, res, 503, 'no_configuration');
+      this.takeEarly(req, res, startedMs);
       return;
     }
     const {limits} = routes.config;
@@ -76,6 +82,27 @@
     void this.read(req, res, limits.bodyBytes, startedMs);
   }
 
+  /** Lets a request wait for the first configuration while that may come at any moment. */
+  private takeEarly(req: IncomingMessage, res: ServerResponse, startedMs: number): void {
+    const refuse = () => {
+      const returnMs = NO_CONFIG_RETURN_MS + Math.random() * RETURN_SPREAD_MS;
+      const [name, value] = retryAfterHeader(returnMs);
+      this.reject(req, res, 503, 'no_configuration', {[name]: value});
+    };
+    if (!this.ctx().isStarting()) {
+      refuse();
+      return;
+    }
+    const end = (next: () => void) => {
+      clearTimeout(timer);
+      this.early.delete(begin);
+      if (!res.destroyed) next();
+    };
+    const begin = () => end(() => this.handle(req, res, startedMs));
+    const timer = setTimeout(() => end(refuse), FIRST_CONFIG_WAIT_MS);
+    this.early.add(begin);
+  }
+
   private async read(
     req: IncomingMessage,
     res: ServerResponse,
@@ -128,7 +155,13 @@
     }
   }
 
-  private reject(req: IncomingMessage, res: ServerResponse, status: number, reason: string): void {
+  private reject(
+    req: IncomingMessage,
+    res: ServerResponse,
+    status: number,
+    reason: string,
+    headers: Readonly<Record<string, string>> = {},
+  ): void {
     const ctx = this.ctx();
     ctx.metrics.endings.increment('rejected');
     ctx.log.info('request rejected', {
@@ -136,7 +169,7 @@
       status,
       reason,
     });
-    sendOwnAnswer(res, status, reason, ctx.isDraining() || status === 413);
+    sendOwnAnswer(res, status, reason, ctx.isDraining() || status === 413, headers);
     req.resume();
   }
 }
--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -4,12 +4,18 @@
   CONFIG_KEY,
   REPLICA_PREFIX,
   type StoreChange,
+  type StoreChanges,
   type StoreClient,
 } from '@jasminepost/platform';
 import {RETURN_GRACE_MS} from './replica_table.ts';
 
 /** A watch that the store lost is found after this and the client's grace. */
-const WATCH_MS = 2500;
+const WATCH_MS = 1500;
+/**
+ * Before the first answer the read is asked for again after this, while the earlier calls go on: a
+ * silent store never answers some of them, and without an answer nobody can be served.
+ */
+const FIRST_READ_AGAIN_MS = 300;
 /**
  * Changes that come close together are taken in with one call, the more of them the more gateways
  * follow the store. A drain and a configuration have 2 s to be noticed.
@@ -18,7 +24,7 @@
 const MIN_GATHER_MS = 250;
 const MAX_GATHER_MS = 900;
 const RETRY_BASE_MS = 150;
-const RETRY_CAP_MS = 900;
+const RETRY_CAP_MS = 400;
 
 /** @internal */
 export interface FleetFeedEvents {
@@ -46,9 +52,9 @@
     private readonly events: FleetFeedEvents,
   ) {}
 
-  /** True while the last call to the store was answered. */
-  get reached(): boolean {
-    return this.connected;
+  /** True until the first call to the store has failed or been answered. */
+  get isFirstCall(): boolean {
+    return !this.everConnected && this.failures === 0;
   }
 
   start(): void {
@@ -74,7 +80,9 @@
   }
 
   private async readAll(): Promise<void> {
-    const {changes, revision} = await this.store.range('');
+    const {changes, revision} = this.everConnected
+      ? await this.store.range('')
+      : await this.readFirst();
     this.onAnswer();
     this.revision = revision;
     this.events.onReplicaSnapshot(
@@ -86,9 +94,23 @@
     }
   }
 
+  private async readFirst(): Promise<StoreChanges> {
+    const calls = new Set<Promise<StoreChanges>>();
+    for (;;) {
+      const call = this.store.range('');
+      calls.add(call);
+      call.catch(() => calls.delete(call));
+      const again = sleep(FIRST_READ_AGAIN_MS, this.abort.signal).then(() => undefined);
+      const read = await Promise.race([Promise.any(calls), again]);
+      if (read !== undefined) return read;
+    }
+  }
+
   private async followOnce(): Promise<void> {
     const {signal} = this.abort;
-    const found = await this.store.watch('', this.revision, WATCH_MS, signal);
+    // After a failure a call that is answered at once tells that the store is back.
+    const waitMs = this.connected ? WATCH_MS : 0;
+    const found = await this.store.watch('', this.revision, waitMs, signal);
     if (signal.aborted) return;
     this.onAnswer();
     if (found === undefined) {
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -29,5 +29,7 @@
   /** Version of the configuration in force; 0 before the first. */
   configVersion(): number;
   isDraining(): boolean;
+  /** True while the first read of the configuration has not failed. */
+  isStarting(): boolean;
   onFinished(request: CallerRequest): void;
 }
--- a/apps/gateway/src/lib/planner_desk.ts
+++ b/apps/gateway/src/lib/planner_desk.ts
@@ -42,8 +42,6 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly lease: TermLease;
-  /** False while the store that holds the role can't be reached. */
-  storeReached(): boolean;
   /** True when another gateway is known to hold the role. */
   heldByOther(): boolean;
   readonly loadWindowS: number;
@@ -106,13 +104,22 @@
   }
 
   /**
-   * A holder goes on while the store is away, since nobody can take the role over without it.
-   * Where others still reach the store, their larger term makes the stewards ignore this one.
+   * A holder goes on while the store does not answer, since hardly anybody can take the role over
+   * then. Where others still reach the store, their larger term shows at the stewards.
    */
   private actingTerm(): number {
-    const held = this.ctx.lease.heldTerm();
+    const {lease} = this.ctx;
+    const held = lease.heldTerm();
     if (held > 0) return held;
-    return this.ctx.storeReached() || this.ctx.heldByOther() ? 0 : this.term;
+    const term = lease.actingTerm();
+    return this.ctx.heldByOther() || this.isSuperseded(term) ? 0 : term;
+  }
+
+  private isSuperseded(term: number): boolean {
+    return this.ctx
+      .engines()
+      .flatMap(({service}) => this.ctx.replicasOf(service))
+      .some(({state}) => state !== undefined && state.term > term);
   }
 
   private onTerm(term: number, nowMs: number): void {
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -111,6 +111,7 @@
     gateways,
     configVersion: () => config.version,
     isDraining: () => stop.draining,
+    isStarting: () => feed.isFirstCall && !stop.draining,
     onFinished: request => server.onFinished(request),
   };
   const server = new CallerServer(() => ctx);
@@ -124,7 +125,6 @@
     address: {host: own.ip, port: own.meshPort},
     guard,
     faults: metrics.linkFaults,
-    storeReached: () => feed.reached,
     loadWindowS: own.bounds.loadWindowS,
     loadOvershoot: own.bounds.loadOvershoot,
     engines: () => config.engines(),
--- a/features/steps/users_platform_checks.ts
+++ b/features/steps/users_platform_checks.ts
@@ -183,3 +183,11 @@
     assert.equal(status, 200);
   }
 });
+
+Then(
+  "that gateway is ready within {int} ms of the store's return",
+  function (this: FleetWorld, withinMs: number) {
+    const {readyAfterMs} = of(this);
+    assert.ok(readyAfterMs !== undefined && readyAfterMs <= withinMs, String(readyAfterMs));
+  },
+);
--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -123,12 +123,47 @@
   },
 );
 
-When('the store is away', async function (this: FleetWorld) {
-  of(this).fleet.store.mode = 'unavailable';
+When(/^the store is (away|silent)$/, async function (this: FleetWorld, how: string) {
+  of(this).fleet.store.mode = how === 'away' ? 'unavailable' : 'silent';
   // Longer than the planner's lease.
   await sleep(3000);
 });
 
+When(
+  'another gateway starts while the store is silent and answers again after {int} ms',
+  {timeout: 20_000},
+  async function (this: FleetWorld, silentMs: number) {
+    const found = of(this);
+    const {fleet} = found;
+    fleet.store.mode = 'silent';
+    await fleet.startGateway();
+    await until('a started gateway', 10_000, async () => {
+      const answer = await fleet.call({path: '/order/7', gateway: 1});
+      return answer.status === 0 ? undefined : true;
+    });
+    await sleep(silentMs);
+    fleet.store.mode = 'up';
+    const backMs = performance.now();
+    await until('a ready gateway', 10_000, async () => (await fleet.isReady(1)) || undefined);
+    found.readyAfterMs = performance.now() - backMs;
+  },
+);
+
+When(
+  'the gateway starts again and a caller sends orders until one is answered',
+  {timeout: 20_000},
+  async function (this: FleetWorld) {
+    const found = of(this);
+    const {fleet} = found;
+    await fleet.gateways[0].process.kill();
+    fleet.restartGateway(0);
+    await until('an answer', 10_000, async () => {
+      const answer = await fleet.call({path: '/order/7'});
+      return answer.status === 0 ? undefined : found.answers.push(answer);
+    });
+  },
+);
+
 When('the first replica is draining', async function (this: FleetWorld) {
   const {fleet} = of(this);
   fleet.register(fleet.services[0], 'draining');
--- a/features/support/users_notes.ts
+++ b/features/support/users_notes.ts
@@ -9,6 +9,8 @@
   answers: UsersAnswer[];
   pending: Promise<UsersAnswer[]>;
   wasUnready: boolean;
+  /** Time from the return of the store until a gateway was ready. */
+  readyAfterMs?: number;
 }
 
 export const notes = new WeakMap<FleetWorld, Notes>();
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -59,12 +59,27 @@
     When a caller sends a draft and leaves after 35 ms
     Then the replica sees the request abandoned within 500 ms
 
-  Scenario: placement goes on while the store is away
+  Scenario Outline: placement goes on while the store is <store>
     Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
-    When the store is away
+    When the store is <store>
     And a caller sends a patient draft for the model "rare"
     Then every answer is whole
 
+    Examples:
+      | store  |
+      | away   |
+      | silent |
+
+  Scenario: a store that was silent when a gateway started
+    Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
+    When another gateway starts while the store is silent and answers again after 1200 ms
+    Then that gateway is ready within 700 ms of the store's return
+
+  Scenario: a request that comes before the first configuration
+    Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
+    When the gateway starts again and a caller sends orders until one is answered
+    Then every answer is whole
+
   Scenario Outline: a resumable stream that is cut "<where>"
     Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
     And the first engine's fault is "<where>"
--- a/packages/key_value/src/index.ts
+++ b/packages/key_value/src/index.ts
@@ -20,7 +20,7 @@
 export {TermLease} from './lib/term_lease.ts';
 export {
   StoreConnection,
+  type StoreCallLimits,
   type StoreConnectionLimits,
   type StoreHttpReply,
-  type StoreWatchWait,
 } from './lib/store_http.ts';
--- a/packages/key_value/src/lib/key_value_client.ts
+++ b/packages/key_value/src/lib/key_value_client.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import {PlatformError, type CounterFamily} from '@jasminepost/core';
 import type {KeyValueStore, StoredEntry, WriteOutcome} from './key_value_store.ts';
-import {StoreConnection, type StoreWatchWait} from './store_http.ts';
+import {StoreConnection, type StoreCallLimits} from './store_http.ts';
 
 const CONNECTION_LIMITS = {connections: 4, connectMs: 1000, callMs: 2000};
 /** Added to a watch's own wait so that the service answers first. */
@@ -101,6 +101,7 @@
     const reply = await this.call('watch', 'GET', path, undefined, {
       timeoutMs: waitMs + WATCH_GRACE_MS,
       signal,
+      waits: true,
     });
     return reply.status === 204 ? undefined : entryReply.parse(reply.body).entry;
   }
@@ -114,9 +115,9 @@
     method: 'GET' | 'PUT' | 'POST',
     path: string,
     body?: object,
-    watch?: StoreWatchWait,
+    limits?: StoreCallLimits,
   ): Promise<Reply> {
-    const {status, text} = await this.connection.call(kind, method, path, body, watch);
+    const {status, text} = await this.connection.call(kind, method, path, body, limits);
     if (status === 400) throw new PlatformError('rejected', `${kind} ${path}: ${text}`);
     return {status, body: text === '' ? undefined : (JSON.parse(text) as unknown)};
   }
--- a/packages/key_value/src/lib/store_http.ts
+++ b/packages/key_value/src/lib/store_http.ts
@@ -29,10 +29,12 @@
   readonly callMs: number;
 }
 
-/** A call that waits for changes. @public */
-export interface StoreWatchWait {
+/** What one call needs other than usual. @public */
+export interface StoreCallLimits {
   readonly timeoutMs: number;
-  readonly signal: AbortSignal;
+  readonly signal?: AbortSignal;
+  /** True for a call that waits for changes; it gets a connection of its own. */
+  readonly waits?: boolean;
 }
 
 /** Counts and makes the calls of one client. @public */
@@ -54,7 +56,6 @@
   /**
    * Makes a call and reads the answer.
    *
-   * @param watch - Given for a call that waits for changes.
    * @throws PlatformError `unavailable` when nothing was done, `unknown_outcome` otherwise.
    * @example
    * const {status, text} = await connection.call('get', 'GET', '/v1/kv?key=a');
@@ -64,7 +65,7 @@
     method: Method,
     path: string,
     body?: object,
-    watch?: StoreWatchWait,
+    own?: StoreCallLimits,
   ): Promise<StoreHttpReply> {
     this.calls.increment(kind);
     return callStore({
@@ -72,9 +73,9 @@
       method,
       url: this.origin + path,
       body,
-      dispatcher: watch === undefined ? this.agent : this.watchAgent,
-      timeoutMs: watch?.timeoutMs ?? this.limits.callMs,
-      signal: watch?.signal,
+      dispatcher: own?.waits === true ? this.watchAgent : this.agent,
+      timeoutMs: own?.timeoutMs ?? this.limits.callMs,
+      signal: own?.signal,
     });
   }
 
--- a/packages/key_value/src/lib/term_lease.ts
+++ b/packages/key_value/src/lib/term_lease.ts
@@ -16,6 +16,8 @@
  */
 export class TermLease {
   private term = 0;
+  /** Term held last, until the store has told that it is over; 0 when there is none. */
+  private lastTerm = 0;
   private leaseId = '';
   private heldUntilMs = 0;
   private readonly task = new RepeatingTask(() => this.step());
@@ -38,6 +40,15 @@
     return this.clock.monotonicMs() < this.heldUntilMs ? this.term : 0;
   }
 
+  /**
+   * The held term, and beyond its time the last one for as long as the store does not answer:
+   * hardly anybody can have taken the role over then.
+   */
+  actingTerm(): number {
+    const held = this.heldTerm();
+    return held > 0 ? held : this.lastTerm;
+  }
+
   start(): void {
     this.task.start(Math.random() * START_SPREAD_MS);
   }
@@ -49,7 +60,7 @@
 
   dispose(): void {
     this.task.dispose();
-    this.heldUntilMs = 0;
+    this.release();
   }
 
   /** One round; returns the time until the next. */
@@ -68,33 +79,48 @@
 
   /** The lease is left to lapse, so that the role has no other holder before its time is over. */
   private giveUp(): void {
-    if (this.heldTerm() === 0) return;
+    if (this.actingTerm() === 0) return;
     this.log.warn('role given up', {key: this.key, term: this.term});
+    this.release();
+  }
+
+  private release(): void {
     this.heldUntilMs = 0;
+    this.lastTerm = 0;
   }
 
   private async renew(): Promise<void> {
     const sentMs = this.clock.monotonicMs();
     const alive = await this.kv.renewLease(this.leaseId);
-    this.heldUntilMs = alive ? sentMs + this.ttlMs : 0;
+    if (alive) this.heldUntilMs = sentMs + this.ttlMs;
+    else this.release();
   }
 
   private async acquire(): Promise<void> {
     const current = await this.kv.get(`${this.key}/holder`);
-    if (current !== null) return;
+    if (current !== null) {
+      if (this.lastTerm > 0 && current.value === this.recordOf(this.lastTerm)) await this.renew();
+      else this.lastTerm = 0;
+      return;
+    }
+    this.lastTerm = 0;
     const sentMs = this.clock.monotonicMs();
     const leaseId = await this.kv.createLease(this.ttlMs);
     const term = await this.nextTerm();
     if (term === 0) return;
-    const value = JSON.stringify(holderSchema.parse({holder: this.holder, term}));
-    const outcome = await this.kv.write(`${this.key}/holder`, value, 0, leaseId);
+    const outcome = await this.kv.write(`${this.key}/holder`, this.recordOf(term), 0, leaseId);
     if (outcome.kind === 'conflict') return;
     this.term = term;
+    this.lastTerm = term;
     this.leaseId = leaseId;
     this.heldUntilMs = sentMs + this.ttlMs;
     this.log.info('role acquired', {key: this.key, term});
   }
 
+  private recordOf(term: number): string {
+    return JSON.stringify(holderSchema.parse({holder: this.holder, term}));
+  }
+
   /** Reserves the next term; 0 when another process was quicker. */
   private async nextTerm(): Promise<number> {
     const entry = await this.kv.get(`${this.key}/term`);
