Tell changes of a replica's state, and look holders up in an index

Cause: each change of an adapter or a move told every gateway the replica's whole state again (about 1 KB with model names, adapters and copies); each try of each waiting request looked at every replica.

Change: engine_change names the fields that differ, and of models those with other adapters; a new link begins with the state that was told last. ReplicaTable keeps holders by service and model until something changes that they rest on.

Two properties are tests.

--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -17,8 +17,6 @@
 export class Replica {
   readonly idHash: number;
   readonly circuit = new Circuit();
-  /** Newest account of the steward beside it; undefined while there is no link. */
-  state: EngineStateMessage | undefined;
   /** Requests of this gateway in progress there. */
   inFlight = 0;
   /** Those without a first event. */
@@ -27,9 +25,8 @@
   kvTokens = 0;
   serviceMs = INITIAL_SERVICE_MS;
   prefillMs = INITIAL_PREFILL_MS;
-  /** True when another replica has its address now. */
-  displaced = false;
-
+  private isDisplaced = false;
+  private account: EngineStateMessage | undefined;
   private load: EngineLoadMessage | undefined;
   private loadMs = Number.NEGATIVE_INFINITY;
   private atLoad = {inFlight: 0, unstarted: 0, kvTokens: 0};
@@ -37,11 +34,43 @@
   private statedMs = 0;
   private inFlightAtStated = 0;
 
+  /** @param onHoldsChanged - Called when it may hold something else, or be usable no more. */
   constructor(
-    public entry: ReplicaEntry,
+    private listed: ReplicaEntry,
     readonly channel: ReplicaChannel,
+    private readonly onHoldsChanged: () => void,
   ) {
-    this.idHash = fnv1a32(entry.id);
+    this.idHash = fnv1a32(listed.id);
+  }
+
+  /** Its newest entry in the platform's list. */
+  get entry(): ReplicaEntry {
+    return this.listed;
+  }
+
+  set entry(entry: ReplicaEntry) {
+    this.listed = entry;
+    this.onHoldsChanged();
+  }
+
+  /** Newest account of the steward beside it; undefined while there is no link. */
+  get state(): EngineStateMessage | undefined {
+    return this.account;
+  }
+
+  set state(state: EngineStateMessage | undefined) {
+    this.account = state;
+    this.onHoldsChanged();
+  }
+
+  /** True when another replica has its address now. */
+  get displaced(): boolean {
+    return this.isDisplaced;
+  }
+
+  set displaced(displaced: boolean) {
+    this.isDisplaced = displaced;
+    this.onHoldsChanged();
   }
 
   get id(): string {
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -27,6 +27,8 @@
   private readonly missing = new Set<string>();
   private graceTimer: NodeJS.Timeout | undefined;
   private services: ReadonlyMap<string, Service> = new Map();
+  /** Usable holders by `service/model`; built anew after a change. */
+  private holdersByModel: Map<string, Replica[]> | undefined;
 
   constructor(
     private readonly clock: Clock,
@@ -82,8 +84,23 @@
   }
 
   /** Usable replicas of a service that hold a model. */
-  holders(service: string, model: string): Replica[] {
-    return this.ofService(service).filter(replica => replica.holds(model, ''));
+  holders(service: string, model: string): readonly Replica[] {
+    this.holdersByModel ??= this.indexHolders();
+    return this.holdersByModel.get(`${service}/${model}`) ?? [];
+  }
+
+  private indexHolders(): Map<string, Replica[]> {
+    const index = new Map<string, Replica[]>();
+    for (const replica of this.replicas.values()) {
+      if (!replica.usable) continue;
+      for (const {name} of replica.models) {
+        const key = `${replica.entry.service}/${name}`;
+        const holders = index.get(key);
+        if (holders === undefined) index.set(key, [replica]);
+        else holders.push(replica);
+      }
+    }
+    return index;
   }
 
   dispose(): void {
@@ -101,8 +118,10 @@
     }
     if (known !== undefined) this.drop(known, 'reborn');
     const maxConnections = this.services.get(entry.service)?.maxConnections ?? 64;
-    const replica = new Replica(entry, new ReplicaChannel(entry.address, maxConnections));
+    const channel = new ReplicaChannel(entry.address, maxConnections);
+    const replica = new Replica(entry, channel, () => (this.holdersByModel = undefined));
     this.replicas.set(entry.id, replica);
+    this.holdersByModel = undefined;
     this.settleAddress(replica);
     this.log.info('replica listed', {
       replica: entry.id,
@@ -164,6 +183,7 @@
 
   private drop(replica: Replica, reason: string): void {
     this.replicas.delete(replica.id);
+    this.holdersByModel = undefined;
     this.log.info('replica gone', {replica: replica.id, reason, inFlight: replica.inFlight});
     const untilMs = this.clock.monotonicMs() + LINGER_MS;
     const close = () => {
--- a/apps/gateway/src/lib/steward_links.ts
+++ b/apps/gateway/src/lib/steward_links.ts
@@ -2,6 +2,7 @@
 import {Disposer, type Clock, type CounterFamily, type Logger} from '@jasminepost/core';
 import {
   MeshClient,
+  withChange,
   type HelloGuard,
   type LinkFault,
   type MemberInfo,
@@ -26,6 +27,8 @@
   readonly replicas: Set<Replica>;
   /** Its newest account; it is sent again only when it changes. */
   state: EngineStateMessage | undefined;
+  /** When its loads from the weight store began, in this process's time. */
+  beginsMs: readonly number[];
   /** When each adapter was last wished for. */
   readonly wishes: Map<string, number>;
   /** When it was last told that requests are sent to its replica. */
@@ -139,6 +142,7 @@
       client,
       replicas: new Set(),
       state: undefined,
+      beginsMs: [],
       wishes: new Map(),
       interestMs: Number.NEGATIVE_INFINITY,
     };
@@ -154,8 +158,12 @@
   private receive(link: StewardLink, message: MeshMessage): void {
     switch (message.type) {
       case 'engine_state':
-        this.setState(link, message);
-        this.tellAccount(link, message);
+        this.takeState(link, message, message.loadsBeganMs);
+        return;
+      case 'engine_change':
+        // Without the state before it, a change says nothing; the link begins with a whole one.
+        if (link.state === undefined) return;
+        this.takeState(link, withChange(link.state, message), message.loadsBeganMs);
         return;
       case 'engine_load':
         link.client.silenceLimitMs = Math.max(MIN_SILENCE_MS, MISSED_LOADS * message.nextMs);
@@ -167,10 +175,17 @@
     }
   }
 
-  private tellAccount(link: StewardLink, {term, closed, loadsBeganMs}: EngineStateMessage): void {
+  /** @param loadsBeganMs - Given when they have changed, relative to now. */
+  private takeState(
+    link: StewardLink,
+    state: EngineStateMessage,
+    loadsBeganMs: readonly number[] | undefined,
+  ): void {
     const nowMs = this.ctx.clock.monotonicMs();
-    const beginsMs = loadsBeganMs.map(sinceMs => nowMs + sinceMs);
-    this.ctx.onAccount(link.client.address.host, {term, closed, beginsMs});
+    if (loadsBeganMs !== undefined) link.beginsMs = loadsBeganMs.map(sinceMs => nowMs + sinceMs);
+    this.setState(link, state);
+    const {term, closed} = state;
+    this.ctx.onAccount(link.client.address.host, {term, closed, beginsMs: link.beginsMs});
   }
 
   private lose(host: string, link: StewardLink, fault: LinkFault): void {
--- a/apps/steward/src/lib/engine_watch.ts
+++ b/apps/steward/src/lib/engine_watch.ts
@@ -1,6 +1,11 @@
 /** Reads one replica's report again and again and tells the gateways what has changed. */
 import type {Clock, Logger, Result} from '@jasminepost/core';
-import type {EngineLoadMessage, EngineStateMessage, MeshMessage} from '@jasminepost/mesh';
+import {
+  changeBetween,
+  type EngineLoadMessage,
+  type EngineStateMessage,
+  type MeshMessage,
+} from '@jasminepost/mesh';
 import type {LoadAccount} from '@jasminepost/policy';
 import type {EngineReport} from '@jasminepost/serving';
 import {LOAD_AUDIENCES, type LoadAudience} from './load_interest.ts';
@@ -16,6 +21,20 @@
 /** Failed reports in a row after which the replica counts as down. */
 const FAILURES_TO_DOWN = 2;
 
+/** What gateways are taken to know before the first state. */
+const NOTHING_TOLD: EngineStateMessage = {
+  type: 'engine_state',
+  up: false,
+  bornMs: 0,
+  models: [],
+  moving: '',
+  inMemory: [],
+  onDisk: [],
+  term: 0,
+  closed: 0,
+  loadsBeganMs: [],
+};
+
 /** What an audience was told of the replica's load last. */
 interface LoadTold {
   text: string;
@@ -45,7 +64,9 @@
   /** The last one there was: a replica that is silent for a while may have restarted. */
   private last: EngineReport | undefined;
   private failures = 0;
-  private stateText = '';
+  /** What the gateways know; a new one gets the whole state. */
+  private toldState = NOTHING_TOLD;
+  private toldBegins = '';
   private readonly told: Readonly<Record<LoadAudience, LoadTold>> = {
     near: {text: '', sentMs: Number.NEGATIVE_INFINITY},
     far: {text: '', sentMs: Number.NEGATIVE_INFINITY},
@@ -75,16 +96,24 @@
   /** Tells the gateways of the state if it differs from what they were told last. */
   publish(): void {
     const state = this.stateMessage();
-    // Times before the sending change with every message.
-    const text = JSON.stringify([{...state, loadsBeganMs: []}, this.ctx.loads().beginsMs]);
-    if (text !== this.stateText) {
-      this.stateText = text;
-      this.ctx.broadcast(state);
+    const {beginsMs} = this.ctx.loads();
+    const change = changeBetween(this.toldState, state, String(beginsMs) !== this.toldBegins);
+    if (change !== undefined) {
+      this.toldState = state;
+      this.toldBegins = String(beginsMs);
+      this.ctx.broadcast(change);
     }
     this.publishLoad();
   }
 
-  stateMessage(): EngineStateMessage {
+  /** State that a new link begins with; changes that are told later build on it. */
+  toldMessage(): EngineStateMessage {
+    const nowMs = this.ctx.clock.monotonicMs();
+    const loadsBeganMs = this.ctx.loads().beginsMs.map(atMs => atMs - nowMs);
+    return {...this.toldState, loadsBeganMs};
+  }
+
+  private stateMessage(): EngineStateMessage {
     const {report, ctx} = this;
     const unloading = ctx.unloading();
     const {term, closed, beginsMs} = ctx.loads();
--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -93,7 +93,7 @@
     {
       onLink: link => {
         log.info('gateway linked', {gateway: link.peer?.id ?? ''});
-        link.send(watch.stateMessage());
+        link.send(watch.toldMessage());
         link.send(watch.loadMessage('idle'));
       },
       onMessage: (link, message) => receive(link, message),
--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -70,6 +70,15 @@
       | far      | 2.7  | 400  |
       | idle     | 0.55 | 2000 |
 
+  Scenario: states of a replica that are told as changes
+    When 300 series of states are told as changes, drawn with seed 20261
+    Then the listener always knew the last state
+    And the change of an adapter takes less than half of the bytes of the state
+
+  Scenario: which replicas hold a model, while they come, go and change
+    When 200 histories of replicas are played with seed 20261
+    Then the index of holders always agreed with a look at every replica
+
   Scenario: requests that wait while no new ones come
     When a gateway tells its demand twice while 3 requests wait and none is new
     Then the planner reads 3 waiting requests after each
--- a/features/steps/engine_policy_steps.ts
+++ b/features/steps/engine_policy_steps.ts
@@ -14,6 +14,8 @@
   type OrderFault,
 } from '../support/order_history.ts';
 import type {LoadAudience} from '../../apps/steward/src/lib/load_interest.ts';
+import {runHolderHistories, type HolderHistory} from '../support/holder_history.ts';
+import {tellStates, type StateTelling} from '../support/state_telling.ts';
 import {tellLoads, type LoadTelling} from '../support/load_telling.ts';
 import {runLoadHistories, type LoadOutcome} from '../support/load_history.ts';
 import {replay, type ReplayLoad, type ReplayOutcome} from '../support/engine_replay.ts';
@@ -33,6 +35,8 @@
 const fences = new WeakMap<FleetWorld, number[]>();
 const roleChanges = new WeakMap<FleetWorld, RoleChange>();
 const waitingRead = new WeakMap<FleetWorld, number[]>();
+const holderHistories = new WeakMap<FleetWorld, HolderHistory>();
+const stateTellings = new WeakMap<FleetWorld, StateTelling>();
 const tellings = new WeakMap<FleetWorld, LoadTelling>();
 const toldAudience = new WeakMap<FleetWorld, LoadAudience>();
 const loadOutcomes = new WeakMap<FleetWorld, LoadOutcome>();
@@ -331,6 +335,43 @@
   assert.ok(longestMs <= gapMs, String(longestMs));
 });
 
+When(
+  '{int} series of states are told as changes, drawn with seed {int}',
+  function (this: FleetWorld, runs: number, seed: number) {
+    stateTellings.set(this, tellStates(runs, seed));
+  },
+);
+
+Then('the listener always knew the last state', function (this: FleetWorld) {
+  const {series, wrong} = stateTellings.get(this)!;
+  assert.ok(series > 0);
+  assert.equal(wrong, 0);
+});
+
+Then(
+  'the change of an adapter takes less than half of the bytes of the state',
+  function (this: FleetWorld) {
+    const {adapterBytes, wholeBytes} = stateTellings.get(this)!;
+    assert.ok(adapterBytes < wholeBytes / 2, `${adapterBytes} of ${wholeBytes}`);
+  },
+);
+
+When(
+  '{int} histories of replicas are played with seed {int}',
+  function (this: FleetWorld, runs: number, seed: number) {
+    holderHistories.set(this, runHolderHistories(runs, seed));
+  },
+);
+
+Then(
+  'the index of holders always agreed with a look at every replica',
+  function (this: FleetWorld) {
+    const {wrong, found, histories: played} = holderHistories.get(this)!;
+    assert.equal(wrong, 0);
+    assert.ok(found > played, `${found} in ${played}`);
+  },
+);
+
 When('two processes seek a role and its holder becomes unfit', async function (this: FleetWorld) {
   roleChanges.set(this, await changeRole());
 });
--- /dev/null
+++ b/features/support/state_telling.ts
@@ -0,0 +1,82 @@
+/** Random series of states of a model replica, told as changes. */
+import fc from 'fast-check';
+import {changeBetween, withChange, type EngineStateMessage} from '@jasminepost/mesh';
+
+export interface StateTelling {
+  series: number;
+  /** Series after which the listener knew another state than the teller. */
+  wrong: number;
+  /** Bytes of a change of one adapter, against those of the whole state. */
+  readonly adapterBytes: number;
+  readonly wholeBytes: number;
+}
+
+const name = fc.constantFrom('draft', 'summary', 'rare', 'digest');
+const names = fc.uniqueArray(name);
+const models = fc.uniqueArray(name).chain(held =>
+  fc.tuple(
+    ...held.map(model =>
+      fc.record({
+        name: fc.constant(model),
+        adapters: fc.uniqueArray(fc.constantFrom('a1', 'a2')),
+      }),
+    ),
+  ),
+);
+const state: fc.Arbitrary<EngineStateMessage> = fc.record({
+  type: fc.constant('engine_state' as const),
+  up: fc.boolean(),
+  bornMs: fc.nat({max: 2}),
+  models,
+  moving: fc.constantFrom('', 'rare'),
+  inMemory: names,
+  onDisk: names,
+  term: fc.nat({max: 2}),
+  closed: fc.nat({max: 2}),
+  loadsBeganMs: fc.constant([]),
+});
+
+export function tellStates(runs: number, seed: number): StateTelling {
+  const outcome = {series: 0, wrong: 0, ...sizes()};
+  fc.assert(
+    fc.property(fc.array(state, {minLength: 2, maxLength: 8}), states => {
+      let known = states[0];
+      states.slice(1).forEach((after, index) => {
+        const change = changeBetween(states[index], after, false);
+        if (change !== undefined) known = withChange(known, change);
+      });
+      outcome.series += 1;
+      if (text(known) !== text(states[states.length - 1])) outcome.wrong += 1;
+    }),
+    {seed, numRuns: runs},
+  );
+  return outcome;
+}
+
+function text(told: EngineStateMessage): string {
+  const sorted = [...told.models].sort((a, b) => a.name.localeCompare(b.name));
+  const fields = Object.entries({...told, models: sorted});
+  return JSON.stringify(fields.sort(([a], [b]) => a.localeCompare(b)));
+}
+
+function sizes(): {adapterBytes: number; wholeBytes: number} {
+  const adapters = Array.from({length: 8}, (_, index) => `a${index}`);
+  const held = ['m0', 'm1', 'm2'].map(model => `long-model-name-${model}`);
+  const before: EngineStateMessage = {
+    type: 'engine_state',
+    up: true,
+    bornMs: 1_771_346_763_363,
+    models: held.map(model => ({name: model, adapters: []})),
+    moving: '',
+    inMemory: [],
+    onDisk: held.flatMap(model => [model, `${model}-old`]),
+    term: 1,
+    closed: 7,
+    loadsBeganMs: [],
+  };
+  const after = {...before, models: [{name: held[0], adapters}, ...before.models.slice(1)]};
+  return {
+    adapterBytes: JSON.stringify(changeBetween(before, after, false)).length,
+    wholeBytes: JSON.stringify(after).length,
+  };
+}
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,3 +1,4 @@
+export {changeBetween, withChange} from './lib/engine_change.ts';
 export {FrameDecoder, encodeFrame, MAX_FRAME_BYTES} from './lib/frame_codec.ts';
 export {HelloGuard} from './lib/hello.ts';
 export {
@@ -9,6 +10,7 @@
   type ConfigHaveMessage,
   type DemandMessage,
   type EndMessage,
+  type EngineChangeMessage,
   type EngineLoadMessage,
   type EngineStateMessage,
   type FailMessage,
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -189,6 +189,16 @@
   loadsBeganMs: z.array(z.number()).max(4096),
 });
 
+/** Fields of the state that have changed since the message before on the same link. */
+const engineChange = engineState
+  .partial()
+  .omit({type: true})
+  .extend({
+    type: z.literal('engine_change'),
+    /** Models that are no longer held; `models` has those that are new or have other adapters. */
+    gone: z.array(name).max(4096).optional(),
+  });
+
 /** Work at a model replica; also the heartbeat. */
 const engineLoad = z.object({
   type: z.literal('engine_load'),
@@ -267,6 +277,7 @@
   operatorAsk,
   operatorReply,
   engineState,
+  engineChange,
   engineLoad,
   replicaIdentity,
   adapterWish,
@@ -310,6 +321,8 @@
 /** @public */
 export type FailMessage = z.infer<typeof fail>;
 /** @public */
+export type EngineChangeMessage = z.infer<typeof engineChange>;
+/** @public */
 export type EngineStateMessage = z.infer<typeof engineState>;
 /** @public */
 export type EngineLoadMessage = z.infer<typeof engineLoad>;
