Let the planner's gateway read the store for the others

Change: the gateway with the planner's role watches for 0.5 s at a time and tells the others each answer, without entries of which only tells what a steward tells too. They take it in if nothing is missing, and ask the store themselves after 1.2 s of silence, so that a planner that stands still or is cut off delays nobody for longer.

The scenario of placement without the store proved nothing (the model was held already); it now asks for a model that no engine holds.

--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -1,5 +1,9 @@
-/** Follows the platform's store: configuration, replicas and the planner's holder. */
+/**
+ * Follows the platform's store: configuration, replicas and the planner's holder. The planner's
+ * gateway asks the store and tells the others; they ask it themselves when they hear nothing.
+ */
 import {backoffMs, messageOf, sleep, type Logger} from '@jasminepost/core';
+import type {StoreChangesMessage} from '@jasminepost/mesh';
 import {
   CONFIG_KEY,
   REPLICA_PREFIX,
@@ -11,6 +15,11 @@
 
 /** A watch that the store lost is found after this and the client's grace. */
 const WATCH_MS = 1500;
+/** The same for the gateway that reads for the others, which hear of each answer. */
+const RELAY_WATCH_MS = 500;
+/** Others ask the store themselves when they have heard nothing for this long. */
+const RELAY_SILENCE_MS = 1200;
+const RELAY_CHECK_MS = 100;
 /**
  * Before the first answer the read is asked for again after this, while the earlier calls go on: a
  * silent store never answers some of them, and without an answer nobody can be served.
@@ -30,9 +39,13 @@
 export interface FleetFeedEvents {
   onConfig(text: string, revision: number): void;
   onReplicaSnapshot(changes: readonly StoreChange[], afterOutage: boolean): void;
-  onReplicaChange(change: StoreChange, afterOutage: boolean): void;
+  /** @returns True when the change matters to gateways that hear from the replica's steward. */
+  onReplicaChange(change: StoreChange, afterOutage: boolean): boolean;
   /** Any other key, such as the planner's holder. */
   onOther(change: StoreChange): void;
+  /** True while this gateway reads the store for the others. */
+  isRelay(): boolean;
+  relay(message: StoreChangesMessage): void;
   /** Gateways that follow the store. */
   gateways(): number;
 }
@@ -45,6 +58,8 @@
   private connected = false;
   private everConnected = false;
   private settledMs = Number.NEGATIVE_INFINITY;
+  private relayedMs = Number.NEGATIVE_INFINITY;
+  private relayedSettling = false;
 
   constructor(
     private readonly store: StoreClient,
@@ -65,10 +80,22 @@
     this.abort.abort();
   }
 
+  /** Takes in what the planner's gateway has read, if nothing is missing in between. */
+  takeRelayed({since, revision, settling, changes}: StoreChangesMessage): void {
+    if (this.revision < 0 || since > this.revision || this.events.isRelay()) return;
+    this.relayedMs = performance.now();
+    this.relayedSettling = settling;
+    this.takeChanges(
+      changes.map(({key, revision: at, value}) => ({key, revision: at, value})),
+      revision,
+    );
+  }
+
   private async run(): Promise<void> {
     while (!this.abort.signal.aborted) {
       try {
         if (this.revision < 0) await this.readAll();
+        else if (this.isRelayed()) await sleep(RELAY_CHECK_MS, this.abort.signal);
         else await this.followOnce();
       } catch (thrown) {
         if (this.abort.signal.aborted) return;
@@ -109,7 +136,8 @@
   private async followOnce(): Promise<void> {
     const {signal} = this.abort;
     // After a failure a call that is answered at once tells that the store is back.
-    const waitMs = this.connected ? WATCH_MS : 0;
+    const longestMs = this.events.isRelay() ? RELAY_WATCH_MS : WATCH_MS;
+    const waitMs = this.connected ? longestMs : 0;
     const found = await this.store.watch('', this.revision, waitMs, signal);
     if (signal.aborted) return;
     this.onAnswer();
@@ -118,28 +146,46 @@
       this.revision = -1;
       return;
     }
-    this.revision = Math.max(this.revision, found.revision);
-    for (const change of found.changes) this.deliver(change);
+    const since = this.revision;
+    const changes = this.takeChanges(found.changes, found.revision);
+    this.events.relay({
+      type: 'store_changes',
+      since,
+      revision: this.revision,
+      settling: this.isSettling(),
+      changes,
+    });
     if (found.changes.length > 0) await sleep(this.gatherMs(), signal);
   }
 
-  private deliver(change: StoreChange): void {
-    if (change.key === CONFIG_KEY) {
-      if (change.value !== undefined) this.events.onConfig(change.value, change.revision);
-    } else if (change.key.startsWith(REPLICA_PREFIX)) {
-      this.events.onReplicaChange(change, this.isSettling());
-    } else {
-      this.events.onOther(change);
+  /** Takes changes in that are new here; returns those that matter to other gateways. */
+  private takeChanges(changes: readonly StoreChange[], revision: number): StoreChange[] {
+    const fresh = changes.filter(change => change.revision > this.revision);
+    this.revision = Math.max(this.revision, revision);
+    return fresh.filter(change => this.deliver(change));
+  }
+
+  private isRelayed(): boolean {
+    return !this.events.isRelay() && performance.now() - this.relayedMs < RELAY_SILENCE_MS;
+  }
+
+  private deliver(change: StoreChange): boolean {
+    if (change.key.startsWith(REPLICA_PREFIX)) {
+      return this.events.onReplicaChange(change, this.isSettling());
     }
+    if (change.key !== CONFIG_KEY) this.events.onOther(change);
+    else if (change.value !== undefined) this.events.onConfig(change.value, change.revision);
+    return true;
   }
 
   private gatherMs(): number {
+    if (this.events.isRelay()) return MIN_GATHER_MS;
     const gatherMs = GATHER_MS_PER_GATEWAY * this.events.gateways();
     return Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, gatherMs));
   }
 
   private isSettling(): boolean {
-    return performance.now() < this.settledMs;
+    return performance.now() < this.settledMs || (this.isRelayed() && this.relayedSettling);
   }
 
   private onAnswer(): void {
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -6,6 +6,7 @@
   type LinkFault,
   type MemberInfo,
   type ModelDemandMessage,
+  type StoreChangesMessage,
   type SuspectMessage,
 } from '@jasminepost/mesh';
 
@@ -19,6 +20,8 @@
   takeDemand(): ModelDemandMessage;
   /** Called instead of a send while this gateway is the planner. */
   onOwnDemand(message: ModelDemandMessage): void;
+  /** Called for what the planner's gateway has read from the store. */
+  onStoreChanges(message: StoreChangesMessage): void;
   /** Called for a request that another gateway has found to crash replicas. */
   onSuspect(message: SuspectMessage): void;
 }
@@ -56,6 +59,7 @@
         onUp: () => this.log.info('planner linked', {host: address.host}),
         onMessage: (_client, message) => {
           if (message.type === 'suspect') this.events.onSuspect(message);
+          if (message.type === 'store_changes') this.events.onStoreChanges(message);
         },
         onDown: (_client, fault) => this.log.info('planner lost', {host: address.host, fault}),
         isAwaiting: () => false,
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -9,6 +9,7 @@
   type MeshLink,
   type MeshMessage,
   type ModelDemandMessage,
+  type StoreChangesMessage,
   type SuspectMessage,
 } from '@jasminepost/mesh';
 import type {StoreChange} from '@jasminepost/platform';
@@ -42,6 +43,8 @@
   /** Requests that are known here to crash replicas. */
   suspects(): readonly SuspectMessage[];
   onSuspect(message: SuspectMessage): void;
+  /** Called for what the planner's gateway has read from the store. */
+  onStoreChanges(message: StoreChangesMessage): void;
 }
 
 /** @internal */
@@ -73,6 +76,7 @@
     this.link = new PlannerLink(self, address, guard, log, faults, {
       takeDemand: () => ctx.takeDemand(),
       onOwnDemand: message => this.desk.takeDemand(self.id, message),
+      onStoreChanges: message => ctx.onStoreChanges(message),
       onSuspect: message => ctx.onSuspect(message),
     });
     this.mesh = new MeshServer(
@@ -108,6 +112,16 @@
     this.desk.takeAccount(host, account);
   }
 
+  /** True while this gateway reads the store for the others. */
+  get isRelay(): boolean {
+    return this.link.isOwnRole;
+  }
+
+  /** Tells the other gateways what has been read from the store. */
+  relay(message: StoreChangesMessage): void {
+    if (this.isRelay) this.mesh.broadcast(message);
+  }
+
   /** Tells the other gateways of a request that crashes replicas, by way of the planner. */
   announce(message: SuspectMessage): void {
     if (this.link.isOwnRole) this.mesh.broadcast(message);
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -52,19 +52,24 @@
     this.wasRead = true;
   }
 
-  applyChange(change: StoreChange, afterOutage: boolean): void {
+  /**
+   * Takes in a change of one entry.
+   *
+   * @returns True when it matters to gateways that hear from the replica's steward.
+   */
+  applyChange(change: StoreChange, afterOutage: boolean): boolean {
     if (change.value === undefined) {
       this.remove(change.key, afterOutage);
-      return;
+      return true;
     }
     this.missing.delete(change.key);
     const decoded = decodeReplicaEntry(change.key, change.value);
     if (decoded.ok) {
       this.malformed.delete(change.key);
-      this.put(decoded.value);
-    } else {
-      this.skip(change.key, decoded.error);
+      return this.put(decoded.value);
     }
+    this.skip(change.key, decoded.error);
+    return true;
   }
 
   /** Gateways linked to the same stewards, as these count them. */
@@ -108,13 +113,15 @@
     for (const replica of this.replicas.values()) replica.channel.destroy();
   }
 
-  private put(entry: ReplicaEntry): void {
+  /** @returns True when more has changed than what its steward tells. */
+  private put(entry: ReplicaEntry): boolean {
     const known = this.replicas.get(entry.id);
     if (known !== undefined && sameInstance(known.entry, entry)) {
+      const isTold = known.state !== undefined && known.entry.leaving === entry.leaving;
       this.logState(known.entry, entry);
       known.entry = entry;
       this.events.onChanged();
-      return;
+      return !isTold;
     }
     if (known !== undefined) this.drop(known, 'reborn');
     const maxConnections = this.services.get(entry.service)?.maxConnections ?? 64;
@@ -132,6 +139,7 @@
     });
     this.events.onAdded(replica);
     this.events.onChanged();
+    return true;
   }
 
   /** Of two entries with one address the later start is the replica that is there. */
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -135,12 +135,15 @@
     takeDemand: () => demand.take(line.waitingByModel()),
     suspects: () => crashes.list(),
     onSuspect: message => crashes.take(message),
+    onStoreChanges: message => feed.takeRelayed(message),
   });
   const feed = new FleetFeed(store, log, {
     onConfig: (text, revision) => config.take(text, revision),
     onReplicaSnapshot: (changes, afterOutage) => table.applySnapshot(changes, afterOutage),
     onReplicaChange: (change, afterOutage) => table.applyChange(change, afterOutage),
     onOther: change => planner.takeChange(change),
+    isRelay: () => planner.isRelay,
+    relay: message => planner.relay(message),
     gateways,
   });
   const notReadyReason = () => {
--- a/features/steps/users_platform_checks.ts
+++ b/features/steps/users_platform_checks.ts
@@ -191,3 +191,27 @@
     assert.ok(readyAfterMs !== undefined && readyAfterMs <= withinMs, String(readyAfterMs));
   },
 );
+
+Then(
+  'the store was asked for changes at most {int} times',
+  function (this: FleetWorld, most: number) {
+    const watches = (of(this).storeCalls ?? []).filter(call => call.endsWith('/-/kv-watch'));
+    assert.ok(watches.length > 0 && watches.length <= most, String(watches.length));
+  },
+);
+
+Then(
+  /^a configuration that adds the route "(\w+)" is in force at each (?:other )?gateway within (\d+) ms$/,
+  async function (this: FleetWorld, name: string, withinMs: string) {
+    const {fleet, still} = of(this);
+    fleet.configure({extraRoute: name});
+    const serving = fleet.gateways.map((_, gateway) => gateway).filter(each => each !== still);
+    const inForce = serving.map(gateway =>
+      until(`route ${name} at ${gateway}`, Number(withinMs), async () => {
+        const {status} = await fleet.call({path: `/${name}/1`, method: 'GET', gateway});
+        return status === 200 ? true : undefined;
+      }),
+    );
+    await Promise.all(inForce);
+  },
+);
--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -4,7 +4,7 @@
 import {sleep} from '@jasminepost/core';
 import type {ReplicaFault} from '../../stand_ins/users_platform/replica.ts';
 import {until} from '../support/fleet_process.ts';
-import {MODEL, UsersFleet} from '../support/users_fleet.ts';
+import {MODEL, MODELS, UsersFleet} from '../support/users_fleet.ts';
 import {notes, of, replicas} from '../support/users_notes.ts';
 import type {FleetWorld} from '../support/world.ts';
 
@@ -97,6 +97,23 @@
   },
 );
 
+When(
+  'a caller sends a patient draft for a model that no engine holds',
+  async function (this: FleetWorld) {
+    const found = of(this);
+    const {engines} = found.fleet;
+    const model = MODELS.find(name => engines.every(engine => !engine.models.has(name)));
+    assert.ok(model !== undefined);
+    for (const engine of engines) engine.onDisk.add(model);
+    await sleep(SETTLE_MS);
+    found.answers.push(await found.fleet.call({path: '/long/1', headers: {model}}));
+  },
+);
+
+Given('the store takes {int} ms for a call', function (this: FleetWorld, latencyMs: number) {
+  of(this).fleet.store.latencyMs = latencyMs;
+});
+
 When(
   'a caller sends a patient draft for the model {string}',
   async function (this: FleetWorld, model: string) {
@@ -291,6 +308,29 @@
   },
 );
 
+When(
+  "the replicas' entries change every {int} ms for {int} ms",
+  async function (this: FleetWorld, everyMs: number, forMs: number) {
+    const found = of(this);
+    const {fleet} = found;
+    const before = fleet.store.calls.length;
+    for (let elapsed = 0; elapsed < forMs; elapsed += everyMs) {
+      for (const engine of fleet.engines) fleet.register(engine);
+      await sleep(everyMs);
+    }
+    found.storeCalls = fleet.store.calls.slice(before);
+  },
+);
+
+When("the planner's gateway stands still", function (this: FleetWorld) {
+  const found = of(this);
+  const {fleet} = found;
+  const {holder} = JSON.parse(fleet.store.read('planner/holder') ?? '{}') as {holder: string};
+  found.still = fleet.gateways.findIndex(({ip}) => holder.startsWith(`${ip}:`));
+  assert.ok(found.still >= 0, holder);
+  fleet.gateways[found.still].process.signal('SIGSTOP');
+});
+
 When('another gateway starts while the store is away', async function (this: FleetWorld) {
   const found = of(this);
   found.fleet.store.mode = 'unavailable';
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -10,6 +10,8 @@
 
 export const HOST = 'tables.example';
 export const MODEL = 'draft';
+/** Models of the configuration; an engine has room for two of them. */
+export const MODELS = [MODEL, 'summary', 'rare'];
 export const ADAPTERS = 3;
 const ZONE = 'zone-a';
 const READY_MS = 10_000;
@@ -156,7 +158,7 @@
       weightsMb: 100,
       adapterSlots: 2,
       loadsPerS: 5,
-      models: [model(MODEL, ADAPTERS), model('summary', 0), model('rare', 0)],
+      models: MODELS.map(name => model(name, name === MODEL ? ADAPTERS : 0)),
     };
     this.store.put('op/config', {
       version: this.version++,
--- a/features/support/users_notes.ts
+++ b/features/support/users_notes.ts
@@ -11,6 +11,10 @@
   wasUnready: boolean;
   /** Time from the return of the store until a gateway was ready. */
   readyAfterMs?: number;
+  /** Calls to the store while its entries changed. */
+  storeCalls?: readonly string[];
+  /** Gateway that stands still. */
+  still?: number;
 }
 
 export const notes = new WeakMap<FleetWorld, Notes>();
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -60,9 +60,9 @@
     Then the replica sees the request abandoned within 500 ms
 
   Scenario Outline: placement goes on while the store is <store>
-    Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
+    Given a users' fleet of 0 service replicas, 1 engines and 1 gateway
     When the store is <store>
-    And a caller sends a patient draft for the model "rare"
+    And a caller sends a patient draft for a model that no engine holds
     Then every answer is whole
 
     Examples:
@@ -77,6 +77,7 @@
 
   Scenario: a request that comes before the first configuration
     Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
+    And the store takes 200 ms for a call
     When the gateway starts again and a caller sends orders until one is answered
     Then every answer is whole
 
@@ -154,6 +155,17 @@
     When the store forgets its history and a configuration adds the route "added"
     Then the route "added" is served within 2000 ms
 
+  Scenario: the gateways hear of the store from the planner's
+    Given a users' fleet of 1 service replicas, 1 engines and 3 gateway
+    When the replicas' entries change every 100 ms for 3000 ms
+    Then the store was asked for changes at most 18 times
+    And a configuration that adds the route "added" is in force at each gateway within 1200 ms
+
+  Scenario: the planner's gateway stands still
+    Given a users' fleet of 1 service replicas, 1 engines and 3 gateway
+    When the planner's gateway stands still
+    Then a configuration that adds the route "added" is in force at each other gateway within 2000 ms
+
   Scenario: a gateway that is stopped
     Given a users' fleet of 1 service replicas, 0 engines and 2 gateway
     And the replicas need 1500 ms for a request
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -24,6 +24,7 @@
   type PlacementMessage,
   type StartMessage,
   type StatusMessage,
+  type StoreChangesMessage,
   type SuspectMessage,
 } from './lib/messages.ts';
 export {MeshLink, type LinkFault} from './lib/mesh_link.ts';
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -213,6 +213,19 @@
   nextMs: count,
 });
 
+/** What the planner's gateway has read from the platform's store, for those that don't ask it. */
+const storeChanges = z.object({
+  type: z.literal('store_changes'),
+  /** Revision that the changes follow on. */
+  since: count,
+  revision: count,
+  /** True while entries that lapsed in an outage may still come back. */
+  settling: z.boolean(),
+  changes: z
+    .array(z.object({key: name, revision: count, value: z.string().optional()}))
+    .max(65_536),
+});
+
 /** Tells a steward that the gateway sends requests to its replica. */
 const loadInterest = z.object({
   type: z.literal('load_interest'),
@@ -281,6 +294,7 @@
   engineLoad,
   replicaIdentity,
   adapterWish,
+  storeChanges,
   loadInterest,
   placement,
   modelDemand,
@@ -305,6 +319,8 @@
 /** @public */
 export type DemandMessage = z.infer<typeof demand>;
 /** @public */
+export type StoreChangesMessage = z.infer<typeof storeChanges>;
+/** @public */
 export type SuspectMessage = z.infer<typeof suspect>;
 /** @public */
 export type StartMessage = z.infer<typeof start>;
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -129,4 +129,25 @@
     replace: '',
     features: ['features/resilience.feature', '--name', 'memory holds'],
   },
+  {
+    name: 'every gateway asks the store',
+    file: 'apps/gateway/src/lib/fleet_feed.ts',
+    find: 'else if (this.isRelayed())',
+    replace: 'else if (false)',
+    features: ['features/users_platform.feature', '--name', 'hear of the store'],
+  },
+  {
+    name: 'a planner drops its term when the store is silent',
+    file: 'packages/key_value/src/lib/term_lease.ts',
+    find: 'return held > 0 ? held : this.lastTerm;',
+    replace: 'return held;',
+    features: ['features/users_platform.feature', '--name', 'placement goes on'],
+  },
+  {
+    name: 'requests before the first configuration are refused',
+    file: 'apps/gateway/src/lib/caller_server.ts',
+    find: 'if (!this.ctx().isStarting()) {',
+    replace: 'if (true) {',
+    features: ['features/users_platform.feature', '--name', 'before the first configuration'],
+  },
 ];
--- a/stand_ins/users_platform/metadata_store.ts
+++ b/stand_ins/users_platform/metadata_store.ts
@@ -30,6 +30,8 @@
 
 export class MetadataStore {
   mode: StoreMode = 'up';
+  /** Time before a call is looked at. */
+  latencyMs = 0;
   readonly calls: string[] = [];
   private revision = 1;
   private oldest = 0;
@@ -107,6 +109,7 @@
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const url = new URL(req.url ?? '/', 'http://store');
     this.calls.push(`${req.method} ${url.pathname}`);
+    if (this.latencyMs > 0) await new Promise(resolve => setTimeout(resolve, this.latencyMs));
     if (this.mode === 'silent') return;
     if (this.mode === 'unavailable') return sendJson(res, 503, {error: 'unavailable'});
     const body = await readJson(req);
