Bring weights near by the time that this saves

Change: a copy ahead of need is worth the share of the callers' patience that it saves, less its load; a quarter of the loads at once is left for demand.

The table of replicas near by load times is a test; it failed at 1.2 s (four replicas).

--- a/apps/gateway/src/lib/planner_desk.ts
+++ b/apps/gateway/src/lib/planner_desk.ts
@@ -5,11 +5,13 @@
 import {
   chargedMb,
   LoadLedger,
+  loadsAtOnce,
   planEngines,
   type EngineMove,
   type LoadAccount,
   type PlanModel,
   type PlanReplica,
+  type WeightStoreLimit,
 } from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
 import {DemandBook, type ModelReading} from './demand_book.ts';
@@ -144,11 +146,14 @@
       ...model,
       ...this.demandFor(service, model.name, views, nowMs),
     }));
-    const storeLoads = this.storeLoadsLeft(spec, replicas, nowMs);
+    const limit = this.limitOf(spec);
+    const hosts = replicas.map(replica => replica.entry.address.host);
+    const storeLoads = this.ledger.left(limit, hosts, nowMs);
     const moves = planEngines({
       replicas: views,
       models,
       storeLoads,
+      storeLoadsAtOnce: loadsAtOnce(limit),
       nowMs,
       settled: this.book.trafficMs(nowMs) > SETTLED_MS,
       isFresh: (replica, model) =>
@@ -268,11 +273,10 @@
     this.ctx.place(replica, {type: 'placement', term, number, ...nothing});
   }
 
-  private storeLoadsLeft(spec: EngineSpec, replicas: readonly Replica[], nowMs: number): number {
+  private limitOf(spec: EngineSpec): WeightStoreLimit {
     let loadS = 0;
     for (const {storeLoadS} of spec.models.values()) loadS = Math.max(loadS, storeLoadS);
     const {loadWindowS: windowS, loadOvershoot: overshoot} = this.ctx;
-    const hosts = replicas.map(replica => replica.entry.address.host);
-    return this.ledger.left({loadsPerS: spec.loadsPerS, windowS, overshoot, loadS}, hosts, nowMs);
+    return {loadsPerS: spec.loadsPerS, windowS, overshoot, loadS};
   }
 }
--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -79,6 +79,17 @@
     When 200 histories of replicas are played with seed 20261
     Then the index of holders always agreed with a look at every replica
 
+  Scenario Outline: weights brought near ahead of need, where a load takes <store> s from the store and <disk> s from disk
+    When a fleet of 8 replicas without demand is planned until it rests, with loads of <store> s and <disk> s
+    Then each model's weights are near at <least> to <most> replicas
+
+    Examples:
+      | store | disk | least | most |
+      | 9     | 2    | 3     | 4    |
+      | 5     | 2    | 3     | 4    |
+      | 1.2   | 0.5  | 1     | 2    |
+      | 0.5   | 0.4  | 1     | 1    |
+
   Scenario: requests that wait while no new ones come
     When a gateway tells its demand twice while 3 requests wait and none is new
     Then the planner reads 3 waiting requests after each
--- a/features/support/engine_replay.ts
+++ b/features/support/engine_replay.ts
@@ -179,6 +179,7 @@
       })),
       models: this.demand.map((demand, model) => this.planModel(model, demand)),
       storeLoads: LOADS_PER_WINDOW - this.storeLoads.length,
+      storeLoadsAtOnce: LOADS_PER_WINDOW,
       nowMs,
       settled: nowMs > 7000,
       isFresh: () => false,
--- /dev/null
+++ b/features/support/near_copies.ts
@@ -0,0 +1,63 @@
+/** A fleet without demand, planned until nothing more is to be done. */
+import {planEngines, type PlanModel} from '@jasminepost/policy';
+
+const MODELS = 4;
+const MODEL_MB = 70;
+const COPIES = 3;
+const ROUNDS = 100;
+const LOADS_AT_ONCE = 10;
+
+/** Replicas that hold each model or have a copy of its weights in the end. */
+export function nearAtRest(replicas: number, storeS: number, diskS: number): number[] {
+  const fleet = Array.from({length: replicas}, (_, index) => ({
+    id: `r${index}`,
+    held: new Set(index < MODELS ? [`m${index}`] : []),
+    onDisk: new Set<string>(),
+  }));
+  for (let round = 0; round < ROUNDS; round++) {
+    const moves = planEngines({
+      replicas: fleet.map(({id, held, onDisk}) => ({
+        id,
+        zone: 'a',
+        held,
+        idle: true,
+        arriving: '',
+        freeMb: (COPIES - held.size) * MODEL_MB,
+        inMemory: new Set<string>(),
+        onDisk,
+      })),
+      models: Array.from({length: MODELS}, (_, index) => modelOf(index, storeS, diskS)),
+      storeLoads: LOADS_AT_ONCE,
+      storeLoadsAtOnce: LOADS_AT_ONCE,
+      nowMs: round * 1000,
+      settled: true,
+      isFresh: () => false,
+    });
+    for (const {replica, load, unload} of moves) {
+      const found = fleet.find(({id}) => id === replica)!;
+      found.held.add(load);
+      found.held.delete(unload);
+      found.onDisk.add(load);
+    }
+  }
+  return Array.from(
+    {length: MODELS},
+    (_, index) =>
+      fleet.filter(({held, onDisk}) => held.has(`m${index}`) || onDisk.has(`m${index}`)).length,
+  );
+}
+
+function modelOf(index: number, storeLoadS: number, diskLoadS: number): PlanModel {
+  return {
+    name: `m${index}`,
+    weightsMb: MODEL_MB,
+    adapters: 1,
+    storeLoadS,
+    diskLoadS,
+    memoryLoadS: diskLoadS,
+    load: 0,
+    waiting: 0,
+    askedMs: Number.NEGATIVE_INFINITY,
+    urgentMs: Number.NEGATIVE_INFINITY,
+  };
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -37,7 +37,7 @@
 export {DemandTracker, TRIAL_DEMAND_WEIGHT} from './lib/demand.ts';
 export {OrganisationLimiter, type LimitRefusal} from './lib/organisation_limiter.ts';
 export {demandIntervalMs, reportIntervalMs} from './lib/report_interval.ts';
-export {LoadLedger, type WeightStoreLimit} from './lib/load_ledger.ts';
+export {LoadLedger, loadsAtOnce, type WeightStoreLimit} from './lib/load_ledger.ts';
 export {LoadRecord, type LoadAccount} from './lib/load_record.ts';
 export {WindowBudget, type WindowBudgetLimits} from './lib/window_budget.ts';
 export {
--- a/packages/policy/src/lib/engine_plan.ts
+++ b/packages/policy/src/lib/engine_plan.ts
@@ -42,6 +42,8 @@
   readonly models: readonly PlanModel[];
   /** Loads from the weight store that may begin now. */
   readonly storeLoads: number;
+  /** Loads that the weight store serves at once at full speed. */
+  readonly storeLoadsAtOnce: number;
   readonly nowMs: number;
   /** True once there has been traffic for long enough to tell which models are asked for. */
   readonly settled: boolean;
--- a/packages/policy/src/lib/engine_round.ts
+++ b/packages/policy/src/lib/engine_round.ts
@@ -27,9 +27,14 @@
 const UNKNOWN_COPY_WORTH = 0.4;
 /** Replicas that should have the weights of such a model, in use or as a copy. */
 const NEAR_COPIES = 4;
-/** Worth of one more of them, and the loads from the weight store that are left for demand. */
+/** Worth of one more of them when that saves the time in which callers leave, or more. */
 const NEAR_WORTH = 0.9;
-const RESERVED_LOADS = 5;
+/** Wait for a model after which most callers have left. */
+const PATIENCE_S = 2.5;
+/** Cost of a load for it from the weight store, whose rate all replicas share. */
+const NEAR_COST = 0.1;
+/** Share of the loads at once that are left for demand. */
+const RESERVED_SHARE = 0.25;
 /** Cost of each second until a model that is asked for urgently has arrived. */
 const SECOND_COST = 0.03;
 /** Cost of a load that takes longer than patient callers' targets. */
@@ -67,8 +72,11 @@
   private readonly models: ReadonlyMap<string, PlanModel>;
   private readonly moves: EngineMove[] = [];
   private storeLoads: number;
+  /** Loads from the weight store that are not used for copies ahead of need. */
+  private readonly reserved: number;
 
   constructor(private readonly input: PlanInput) {
+    this.reserved = Math.ceil(input.storeLoadsAtOnce * RESERVED_SHARE);
     this.storeLoads = input.storeLoads;
     this.models = new Map(input.models.map(model => [model.name, model]));
     for (const {held, arriving, inMemory, onDisk} of input.replicas) {
@@ -126,9 +134,10 @@
 
   /** Worth of weights near at hand for a model whose demand may rise within seconds. */
   private nearWorth(model: PlanModel): number {
-    if (!this.mayRise(model) || this.storeLoads <= RESERVED_LOADS) return 0;
+    if (!this.mayRise(model) || this.storeLoads <= this.reserved) return 0;
     const near = this.near.get(model.name) ?? 0;
-    return near < NEAR_COPIES ? NEAR_WORTH / Math.max(1, near) : 0;
+    const savedShare = Math.min(1, (model.storeLoadS - model.diskLoadS) / PATIENCE_S);
+    return near < NEAR_COPIES ? (NEAR_WORTH * savedShare) / Math.max(1, near) : 0;
   }
 
   /**
@@ -250,7 +259,7 @@
 }
 
 function loadCost(need: Need, source: EngineMove['source']): number {
-  if (need.prefetch) return 0;
+  if (need.prefetch) return NEAR_COST;
   if (isPatient(need.model)) return source === 'store' ? LATE_LOAD_COST : 0;
   return SECOND_COST * loadSeconds(need.model, source);
 }
--- a/packages/policy/src/lib/load_ledger.ts
+++ b/packages/policy/src/lib/load_ledger.ts
@@ -12,6 +12,11 @@
   readonly loadS: number;
 }
 
+/** Loads that the weight store serves at once; with more of them, all would be slower. @public */
+export function loadsAtOnce({loadsPerS, loadS}: WeightStoreLimit): number {
+  return Math.max(1, Math.ceil(loadsPerS * loadS));
+}
+
 /** Loads beside the rate that a window may hold. */
 const WINDOW_EXTRA = 3;
 /** Loads of a window that are left for what no account tells of. */
@@ -81,12 +86,10 @@
   left(limit: WeightStoreLimit, holders: readonly string[], nowMs: number): number {
     const {loadsPerS, windowS, overshoot, loadS} = limit;
     const most = Math.floor(loadsPerS * windowS * overshoot) + WINDOW_EXTRA - WINDOW_RESERVE;
-    // More at once than the store serves at full speed would all be slower.
-    const atOnce = Math.max(1, Math.ceil(loadsPerS * loadS));
     const open = this.open(nowMs);
     const begun = this.begunSince(nowMs - this.windowMs - RECORD_LAG_MS);
     const byWindow = most - open - begun - this.unclaimed(holders, nowMs);
-    const byPlaces = atOnce - open - this.begunSince(nowMs - loadS * 1000);
+    const byPlaces = loadsAtOnce(limit) - open - this.begunSince(nowMs - loadS * 1000);
     return Math.max(0, Math.min(byWindow, byPlaces));
   }
 
