--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -122,15 +122,17 @@
   }
 
   private async readFirst(): Promise<StoreChanges> {
+    const {signal} = this.abort;
     const calls = new Set<Promise<StoreChanges>>();
-    for (;;) {
+    while (!signal.aborted) {
       const call = this.store.range('');
       calls.add(call);
       call.catch(() => calls.delete(call));
-      const again = sleep(FIRST_READ_AGAIN_MS, this.abort.signal).then(() => undefined);
+      const again = sleep(FIRST_READ_AGAIN_MS, signal).then(() => undefined);
       const read = await Promise.race([Promise.any(calls), again]);
       if (read !== undefined) return read;
     }
+    return Promise.any(calls);
   }
 
   private async followOnce(): Promise<void> {
