--- a/stand_ins/users_platform/metadata_store.ts
+++ b/stand_ins/users_platform/metadata_store.ts
@@ -43,7 +43,10 @@
   private readonly leaseTimer: NodeJS.Timeout;
 
   constructor() {
-    this.server = createServer((req, res) => void this.handle(req, res));
+    // A caller that is killed in the middle of a call leaves nothing to answer.
+    this.server = createServer((req, res) => {
+      this.handle(req, res).catch(() => res.destroy());
+    });
     this.leaseTimer = setInterval(() => this.expireLeases(), LEASE_CHECK_MS);
   }
 
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -70,7 +70,10 @@
     readonly zone: string,
     readonly isEngine: boolean,
   ) {
-    this.server = createServer((req, res) => void this.handle(req, res));
+    // A caller that is killed in the middle of a call leaves nothing to answer.
+    this.server = createServer((req, res) => {
+      this.handle(req, res).catch(() => res.destroy());
+    });
     this.server.keepAliveTimeout = 30_000;
   }
 
