--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -6,6 +6,7 @@
 import type {RouteTable} from '@jasminepost/serving';
 import {sendOwnAnswer} from './answer_relay.ts';
 import {CallerRequest} from './caller_request.ts';
+import {LEAVING_RETURN_MS} from './engine_line.ts';
 import type {GatewayContext} from './gateway_context.ts';
 
 /** Largest head that is parsed at all; the configuration's own limit lies below. */
@@ -15,8 +16,6 @@
 /** Time after which a gateway without a configuration has mostly read one. */
 const NO_CONFIG_RETURN_MS = 800;
 const RETURN_SPREAD_MS = 200;
-/** Another gateway takes a caller at once. */
-const LEAVING_RETURN_MS = 50;
 /** Connections that may wait to be accepted. */
 const BACKLOG = 1024;
 
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -25,8 +25,8 @@
 const SWEEP_MS = 40;
 /** Added to computed waits, so that refused callers do not all return at once. */
 const RETURN_SPREAD_MS = 250;
-/** Another gateway takes a caller at once. */
-const LEAVING_RETURN_MS = 50;
+/** Another gateway takes a caller at once. @internal */
+export const LEAVING_RETURN_MS = 50;
 /** A configuration with the model may be on its way. */
 const UNKNOWN_RETURN_MS = 1000;
 /** Least time that a refused caller is asked to stay away. */
