Count and log what becomes of evidence that a request crashes replicas

Evidence that was dropped, and an announcement without a link to a planner, left no trace: the hypotheses of the incident could not be told apart from logs. Counter crash_evidence, and one line for each drop and each announcement that was not sent. No decision changes.

--- a/apps/gateway/src/lib/crash_watch.ts
+++ b/apps/gateway/src/lib/crash_watch.ts
@@ -1,7 +1,8 @@
 /** Finds requests that crash the replicas which run them, and keeps them from further replicas. */
-import {sha256Hex, type Clock, type Logger} from '@jasminepost/core';
+import {sha256Hex, type Clock, type CounterFamily, type Logger} from '@jasminepost/core';
 import type {SuspectMessage} from '@jasminepost/mesh';
 import {decideQuarantine, SuspectList} from '@jasminepost/policy';
+import type {CrashEvidence} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
 
 /** A caller that repeats such a request does so within seconds; after this it is tried again. */
@@ -22,6 +23,7 @@
 export interface CrashWatchContext {
   readonly clock: Clock;
   readonly log: Logger;
+  readonly evidence: CounterFamily<CrashEvidence>;
   /** True once the replica is known to have ended. */
   isLost(replica: Replica): boolean;
   /** Tells the other gateways. */
@@ -56,6 +58,7 @@
   onCut(request: RepeatableRequest, replica: Replica, sentMs: number): void {
     const atMs = this.ctx.clock.monotonicMs();
     this.cuts.push({fingerprint: fingerprintOf(request), replica, sentMs, atMs});
+    this.ctx.evidence.increment('cut');
     this.timer ??= setInterval(() => this.confirm(), CONFIRM_INTERVAL_MS);
   }
 
@@ -93,6 +96,7 @@
     for (const cut of this.cuts) {
       if (this.ctx.isLost(cut.replica)) this.onCrash(cut);
       else if (nowMs - cut.atMs < CONFIRM_MS) open.push(cut);
+      else this.drop(cut, 'unconfirmed');
     }
     this.cuts = open;
     if (open.length > 0) return;
@@ -100,14 +104,27 @@
     this.timer = undefined;
   }
 
-  private onCrash({fingerprint, replica, sentMs, atMs}: Cut): void {
+  private onCrash(cut: Cut): void {
+    const {fingerprint, replica, sentMs, atMs} = cut;
     // Replicas that crash together tell nothing of the requests that were on all of them.
-    if (sentMs < this.suspects.reportedMs(fingerprint)) return;
+    if (sentMs < this.suspects.reportedMs(fingerprint)) return this.drop(cut, 'overlapping');
     const crashes = this.suspects.crashesOf(fingerprint, atMs) + 1;
     this.suspects.report(fingerprint, crashes, atMs);
+    this.ctx.evidence.increment('confirmed');
     this.ctx.log.warn('request suspected', {fingerprint, crashes, replica: replica.id});
     this.ctx.announce({type: 'suspect', fingerprint, crashes, cleared: false});
   }
+
+  private drop({fingerprint, replica, atMs}: Cut, outcome: 'unconfirmed' | 'overlapping'): void {
+    this.ctx.evidence.increment(outcome);
+    const ageMs = Math.round(this.ctx.clock.monotonicMs() - atMs);
+    this.ctx.log.info('crash evidence dropped', {
+      fingerprint,
+      replica: replica.id,
+      outcome,
+      ageMs,
+    });
+  }
 }
 
 /** The same for each time that a caller sends the request. */
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -7,6 +7,9 @@
 export type Ending =
   'answered' | 'refused' | 'failed' | 'cut' | 'timed_out' | 'caller_gone' | 'no_route' | 'rejected';
 
+/** What became of attempts whose connection ended before the answer did. @internal */
+export type CrashEvidence = 'cut' | 'confirmed' | 'unconfirmed' | 'overlapping';
+
 /** @internal */
 export interface GatewayMetrics {
   readonly registry: MetricRegistry;
@@ -16,6 +19,7 @@
   readonly retries: CounterFamily<string>;
   readonly placements: CounterFamily<string>;
   readonly storeCalls: CounterFamily<StoreCall>;
+  readonly crashEvidence: CounterFamily<CrashEvidence>;
   readonly linkFaults: CounterFamily<LinkFault>;
   readonly firstEvent: Histogram;
   readonly waited: Histogram;
@@ -33,6 +37,11 @@
     retries: registry.counter('retries', 'Requests sent once more, by reason', 'reason'),
     placements: registry.counter('placements', 'Models placed, by source of weights', 'source'),
     storeCalls: registry.counter('store_calls', 'Calls to the platform store', 'call'),
+    crashEvidence: registry.counter(
+      'crash_evidence',
+      'Attempts that may have crashed their replica',
+      'outcome',
+    ),
     linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
     firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
     waited: registry.histogram('waited_ms', 'Time in the line before the request was sent'),
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -76,7 +76,9 @@
 
   /** Tells the planner, which tells all gateways. */
   announce(message: SuspectMessage): void {
-    this.client?.link?.send(message);
+    if (this.client?.link?.send(message) === true) return;
+    const {fingerprint, crashes} = message;
+    this.log.warn('suspect not announced', {fingerprint, crashes, reason: 'no link to a planner'});
   }
 
   dispose(): void {
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -72,6 +72,7 @@
   const crashes = new CrashWatch({
     clock,
     log,
+    evidence: metrics.crashEvidence,
     isLost: replica => replica.hasEnded || table.replicas.get(replica.id) !== replica,
     announce: message => planner.announce(message),
   });
