--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -327,19 +327,6 @@
   });
 });
 
-Given(
-  'an order with the body {string} crashes its replica',
-  async function (this: FleetWorld, body: string) {
-    const {fleet} = of(this);
-    for (const replica of fleet.services) {
-      replica.crashingBody = body;
-      replica.onCrash = () => fleet.store.remove(`servers/${replica.id}`);
-    }
-    // The planner's role has to be taken: gateways tell each other by way of its holder.
-    await sleep(SETTLE_MS * 2);
-  },
-);
-
 When(
   'a caller sends the order {string} {int} times to each gateway in turn',
   async function (this: FleetWorld, body: string, times: number) {
--- a/features/support/users_notes.ts
+++ b/features/support/users_notes.ts
@@ -15,6 +15,8 @@
   storeCalls?: readonly string[];
   /** Gateway that stands still. */
   still?: number;
+  /** Replicas that a request has ended. */
+  crashes?: number;
 }
 
 export const notes = new WeakMap<FleetWorld, Notes>();
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -53,6 +53,8 @@
   eventMs = 15;
   /** A request with this body crashes the replica. */
   crashingBody: string | undefined;
+  /** It runs such a request for this long, even if its caller leaves. */
+  crashAfterMs = 0;
   onCrash: () => void = () => undefined;
   readonly models = new Map<string, Set<string>>();
   readonly onDisk = new Set<string>();
@@ -62,6 +64,7 @@
   /** Counts starts; what an earlier life had begun does not end in this one. */
   private life = 0;
   private readonly incoming = new Set<string>();
+  private boundTo: AddressInfo = {address: '', family: '', port: 0};
   private readonly server: Server;
 
   constructor(
@@ -77,12 +80,14 @@
     this.server.keepAliveTimeout = 30_000;
   }
 
+  /** The same after it has ended. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return this.boundTo.port;
   }
 
   async listen(host: string): Promise<void> {
     await new Promise<void>(resolve => this.server.listen(0, host, resolve));
+    this.boundTo = this.server.address() as AddressInfo;
   }
 
   close(): void {
@@ -101,15 +106,17 @@
     this.server.closeAllConnections();
   }
 
-  /** Ends without a word to anyone. */
-  crash(): void {
+  /** Ends without a word to anyone; several copies of a request end it once. */
+  private crash(life: number): void {
+    if (life !== this.life) return;
+    this.life += 1;
     this.close();
     this.onCrash();
   }
 
   /** Answers nobody for a while and starts again at its address. */
   async downFor(downMs: number, id: string): Promise<void> {
-    const {address, port} = this.server.address() as AddressInfo;
+    const {address, port} = this.boundTo;
     this.close();
     await sleep(downMs);
     this.restart(id);
@@ -154,7 +161,11 @@
       abandoned: false,
     };
     this.runs.push(seen);
-    if (body === this.crashingBody) return this.crash();
+    if (body === this.crashingBody) {
+      const {life} = this;
+      if (this.crashAfterMs > 0) await sleep(this.crashAfterMs);
+      return this.crash(life);
+    }
     res.on('close', () => (seen.abandoned = !res.writableFinished));
     await sleep(this.workMs);
     await this.answer(seen, req, res);
