Hold a request back on presumed crashes, until its replica turns out to live

Cause: a safety count that fails open. An ended connection counted only when the list or a steward confirmed the crash within 5 s; with the store away nothing was ever confirmed. Copies that overlapped counted as one, and an attempt that was given up first left no trace. Change: CrashRecord keeps the set of replicas that ended under a request, by id and start. An ended connection counts at once and is taken back when the steward, an answer or a list that was followed for 5 s shows that the replica lives. Two endings in a row hold the request; three at once let one copy in the fleet try, by leave of the store. Copies in the line are checked before each send.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -8,10 +8,17 @@
   type Exchange,
   type ReplicaHead,
 } from '@jasminepost/platform';
-import {decideRetry, requestTimes} from '@jasminepost/policy';
-import {backendFor, NO_GENERATION, type Generation, type Route} from '@jasminepost/serving';
+import {decideRetry, engineUrgency, requestTimes} from '@jasminepost/policy';
+import {
+  backendFor,
+  NO_GENERATION,
+  tokensOf,
+  type Generation,
+  type Route,
+} from '@jasminepost/serving';
 import {answerFault} from './answer_fault.ts';
 import {AnswerRelay, sendOwnAnswer} from './answer_relay.ts';
+import {CrashGate} from './crash_gate.ts';
 import type {RepeatableRequest} from './crash_watch.ts';
 import type {GatewayContext} from './gateway_context.ts';
 import type {Ending} from './gateway_metrics.ts';
@@ -28,10 +35,7 @@
 const DEFAULT_RETRY_AFTER_MS = 300;
 
 /** What ended one attempt. */
-interface AttemptEnd {
-  readonly verdict: Verdict;
-  readonly detail: string;
-}
+type AttemptEnd = Readonly<{verdict: Verdict; detail: string}>;
 
 /** @internal */
 export class CallerRequest implements LineMember {
@@ -57,6 +61,7 @@
   private timer: NodeJS.Timeout | undefined;
   private readonly relay: AnswerRelay;
   private readonly asSent: RepeatableRequest;
+  private readonly gate: CrashGate;
   private readonly canRepeat: boolean;
 
   constructor(
@@ -70,6 +75,7 @@
   ) {
     this.arrivedMs = startedMs;
     this.asSent = {method: req.method ?? 'GET', path: req.url ?? '/', body};
+    this.gate = new CrashGate(ctx.crashes, this.asSent);
     this.service = backendFor(route, head.requestId);
     this.priority = route.priority;
     this.patient = route.targetLatencyMs >= PATIENT_TARGET_MS;
@@ -113,7 +119,7 @@
     this.firstEventMs = 0;
     replica.inFlight += 1;
     replica.unstarted += 1;
-    replica.kvTokens += this.tokens();
+    replica.kvTokens += tokensOf(this.head.generation);
     metrics.waited.recordMs(nowMs - this.arrivedMs);
     log.info('request sent', {
       requestId: this.head.requestId,
@@ -133,7 +139,7 @@
         fields: {
           deadlineMs: this.deadlineMs - nowMs,
           replicaId: replica.id,
-          urgency: this.head.generation === undefined ? undefined : this.urgency(),
+          urgency: this.head.generation === undefined ? undefined : engineUrgency(this),
           lastEventId: this.relay.lastEventId,
         },
       },
@@ -147,7 +153,7 @@
         },
         onError: (error, neverSent) => {
           if (!live()) return;
-          if (!neverSent) this.ctx.crashes.onCut(this.asSent, replica, nowMs);
+          if (!neverSent) this.gate.onCut(replica, nowMs);
           const verdict = neverSent ? notRun('connect_failed') : mayHaveRun('upstream_cut');
           this.onAttemptFailed({verdict, detail: messageOf(error)}, true);
         },
@@ -165,16 +171,23 @@
     }
     const leftMs = this.deadlineMs - this.ctx.clock.monotonicMs();
     const [name, value] = retryAfterHeader(Math.min(retryAfterMs, Math.max(leftMs, 0)));
-    this.answerOwn(503, reason, {[name]: value});
+    sendOwnAnswer(this.res, 503, reason, this.ctx.isDraining(), {[name]: value});
     this.finish('refused', {reason, retryAfterMs: Math.round(retryAfterMs), ...inputs});
   }
 
+  heldBackMs(): number {
+    return this.gate.heldBackMs();
+  }
+
   private next(): void {
-    const heldBackMs = this.ctx.crashes.heldBackMs(this.asSent);
-    if (heldBackMs > 0) {
-      this.refuse('crashes_replicas', heldBackMs, {});
-      return;
-    }
+    this.gate.pass(
+      () => this.seekReplica(),
+      heldBackMs => this.refuse('crashes_replicas', heldBackMs, {}),
+    );
+  }
+
+  /** Looks for a replica, or enters the line for one. */
+  private seekReplica(): void {
     const engine = this.ctx.engineOf(this.service);
     if (engine !== undefined && this.head.generation !== undefined) {
       this.ctx.line.submit(this);
@@ -199,6 +212,7 @@
       this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail: 'foreign answer'}, true);
       return;
     }
+    if (head.status !== 421) replica.onAnswered(this.sentMs, nowMs);
     if (head.notRun) {
       if (head.status === 421 && head.replicaId !== '' && head.replicaId !== replica.id) {
         replica.displaced = true;
@@ -252,11 +266,12 @@
     replica.learnService(nowMs - this.sentMs);
     this.endAttempt();
     if (this.relay.endsInEvent) {
+      this.gate.onCut(replica, this.sentMs);
       this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail: 'event cut'}, false);
       return;
     }
     this.relay.end();
-    this.ctx.crashes.onServed(this.asSent);
+    this.gate.onServed();
     this.finish('answered', {replica: replica.id, status: this.res.statusCode});
   }
 
@@ -323,6 +338,7 @@
 
   private abandon(): void {
     if (this.exchange === undefined) return;
+    this.gate.onGivenUp(this.replica!, this.sentMs);
     this.exchange.abort();
     this.endAttempt();
   }
@@ -334,7 +350,7 @@
     this.attempt += 1;
     replica.inFlight -= 1;
     if (this.firstEventMs === 0) replica.unstarted -= 1;
-    replica.kvTokens -= this.tokens();
+    replica.kvTokens -= tokensOf(this.head.generation);
     this.ctx.line.wake();
   }
 
@@ -346,18 +362,15 @@
       this.relay.cut();
       return;
     }
-    this.answerOwn(status, reason, {});
+    sendOwnAnswer(this.res, status, reason, this.ctx.isDraining(), {});
     this.finish(status === 504 ? 'timed_out' : 'failed', {reason, ...inputs});
   }
 
-  private answerOwn(status: number, reason: string, headers: Record<string, string>): void {
-    sendOwnAnswer(this.res, status, reason, this.ctx.isDraining(), headers);
-  }
-
   private finish(ending: Ending, inputs: Readonly<Record<string, unknown>>): void {
     if (this.finished) return;
     this.finished = true;
     clearTimeout(this.timer);
+    this.gate.dispose();
     this.ctx.metrics.endings.increment(ending);
     const nowMs = this.ctx.clock.monotonicMs();
     this.ctx.log.info('request ended', {
@@ -382,14 +395,4 @@
     if (generation === undefined) return MIN_SERVICE_MS;
     return this.ctx.estimator.estimateMs(generation.model, generation.tokensIn);
   }
-
-  private tokens(): number {
-    const {generation} = this.head;
-    return generation === undefined ? 0 : generation.tokensIn + generation.maxTokensOut;
-  }
-
-  /** Requests whose target is far off let the others go first at the replica, too. */
-  private urgency(): number {
-    return Math.min(9, this.priority * 2 + (this.patient ? 2 : 0));
-  }
 }
--- a/apps/gateway/src/lib/crash_watch.ts
+++ b/apps/gateway/src/lib/crash_watch.ts
@@ -1,15 +1,18 @@
 /** Finds requests that crash the replicas which run them, and keeps them from further replicas. */
 import {sha256Hex, type Clock, type CounterFamily, type Logger} from '@jasminepost/core';
-import type {SuspectMessage} from '@jasminepost/mesh';
-import {decideQuarantine, SuspectList} from '@jasminepost/policy';
+import type {CrashNewsMessage} from '@jasminepost/mesh';
+import {CrashRecord, type CrashDecision} from '@jasminepost/policy';
 import type {CrashEvidence} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
 
-/** A caller that repeats such a request does so within seconds; after this it is tried again. */
-const SUSPECT_MEMORY_MS = 60_000;
-/** Three heartbeats of a replica and the store's delay: by then a crashed one is off the list. */
+/** Time in which a list that is up to date drops a replica that has ended: three heartbeats and more. */
 const CONFIRM_MS = 5000;
-const CONFIRM_INTERVAL_MS = 100;
+/** A replica that answers this soon after a cut has not ended: a restart takes longer. */
+const RESTART_MS = 1000;
+const LOOK_INTERVAL_MS = 100;
+/** Most cuts are explained by then; the others are told to the other gateways. */
+const TELL_AFTER_MS = 300;
+const MAX_WATCHED = 5000;
 const FINGERPRINT_DIGITS = 24;
 
 /** A request as it looks when it comes again, under another id. @internal */
@@ -19,116 +22,243 @@
   readonly body: Buffer;
 }
 
+/** News of one request. @internal */
+export type CrashNews = CrashNewsMessage['requests'][number];
+
 /** @internal */
 export interface CrashWatchContext {
   readonly clock: Clock;
   readonly log: Logger;
   readonly evidence: CounterFamily<CrashEvidence>;
+  /** Id of this gateway. */
+  readonly self: string;
   /** True once the replica is known to have ended. */
   isLost(replica: Replica): boolean;
+  /** True while the platform's list is followed without a gap. */
+  isListSound(): boolean;
+  /** Takes the fleet's leave to try a suspected request. */
+  takeTrial(fingerprint: string): Promise<boolean>;
   /** Tells the other gateways. */
-  announce(message: SuspectMessage): void;
+  announce(message: CrashNewsMessage): void;
 }
 
-interface Cut {
+/**
+ * `presumed`: the connection ended, which counts until the replica turns out to live. `possible`: the
+ * caller left first, which counts only once the replica is known to have ended.
+ */
+type Weight = 'presumed' | 'possible';
+
+/** An attempt that may have ended its replica. */
+interface Watched {
   readonly fingerprint: string;
   readonly replica: Replica;
   readonly sentMs: number;
   readonly atMs: number;
+  weight: Weight;
+  told: boolean;
+  /** Time since then in which a lost replica would have left the list. */
+  soundMs: number;
 }
 
 /** @internal */
 export class CrashWatch {
-  private readonly suspects = new SuspectList(SUSPECT_MEMORY_MS);
-  /** Attempts that were cut, until it is known whether their replica has crashed. */
-  private cuts: Cut[] = [];
+  private readonly record: CrashRecord;
+  private watched: Watched[] = [];
+  private readonly trials = new Set<string>();
+  private untold = new Map<string, CrashNews>();
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly ctx: CrashWatchContext) {}
+  constructor(private readonly ctx: CrashWatchContext) {
+    this.record = new CrashRecord(ctx.self);
+  }
 
-  /** Time for which a request must reach no replica; 0 when it may. */
-  heldBackMs(request: RepeatableRequest): number {
-    const nowMs = this.ctx.clock.monotonicMs();
-    if (this.suspects.isEmpty(nowMs)) return 0;
-    const decision = decideQuarantine(this.suspects, fingerprintOf(request), nowMs);
-    return decision.kind === 'refuse' ? decision.retryAfterMs : 0;
+  /** Whether the request may be sent now. */
+  decide(fingerprint: () => string): CrashDecision {
+    if (this.record.isEmpty) return {kind: 'free'};
+    return this.record.decide(fingerprint(), this.ctx.clock.monotonicMs());
+  }
+
+  /** Takes the fleet's leave to try a suspected request. */
+  takeTrial(fingerprint: string): Promise<boolean> {
+    return this.ctx.takeTrial(fingerprint);
+  }
+
+  /** Takes this gateway's one trial of a suspected request; false while another copy has it. */
+  beginTrial(fingerprint: string): boolean {
+    if (this.trials.has(fingerprint)) return false;
+    this.trials.add(fingerprint);
+    return true;
+  }
+
+  endTrial(fingerprint: string): void {
+    this.trials.delete(fingerprint);
   }
 
   /** Takes in an attempt whose connection ended before the answer did. */
-  onCut(request: RepeatableRequest, replica: Replica, sentMs: number): void {
-    const atMs = this.ctx.clock.monotonicMs();
-    this.cuts.push({fingerprint: fingerprintOf(request), replica, sentMs, atMs});
+  onCut(fingerprint: string, replica: Replica, sentMs: number): void {
     this.ctx.evidence.increment('cut');
-    this.timer ??= setInterval(() => this.confirm(), CONFIRM_INTERVAL_MS);
+    this.watch({fingerprint, replica, sentMs, weight: 'presumed'});
+  }
+
+  /** Takes in an attempt that was given up before its replica had answered. */
+  onGivenUp(fingerprint: string, replica: Replica, sentMs: number): void {
+    this.watch({fingerprint, replica, sentMs, weight: 'possible'});
   }
 
   /** A request that a replica has run to its end crashes none. */
-  onServed(request: RepeatableRequest): void {
-    const nowMs = this.ctx.clock.monotonicMs();
-    if (this.cuts.length === 0 && this.suspects.isEmpty(nowMs)) return;
-    const fingerprint = fingerprintOf(request);
-    this.cuts = this.cuts.filter(cut => cut.fingerprint !== fingerprint);
-    if (this.suspects.crashesOf(fingerprint, nowMs) === 0) return;
-    this.suspects.clear(fingerprint);
-    this.ctx.log.info('suspect cleared', {fingerprint});
-    this.ctx.announce({type: 'suspect', fingerprint, crashes: 0, cleared: true});
+  onServed(fingerprint: () => string): void {
+    if (this.watched.length === 0 && this.record.isEmpty) return;
+    const served = fingerprint();
+    this.watched = this.watched.filter(found => found.fingerprint !== served);
+    if (!this.record.clear(served)) return;
+    this.ctx.log.info('suspect cleared', {fingerprint: served});
+    this.tell({fingerprint: served, endings: [], withdrawn: [], served: true});
+    this.flush();
   }
 
-  /** All suspects, for a gateway that has just come. */
-  list(): SuspectMessage[] {
-    return this.suspects
-      .list(this.ctx.clock.monotonicMs())
-      .map(suspect => ({type: 'suspect', ...suspect, cleared: false}));
+  /** All that is known here, for a gateway that has just come. */
+  list(): CrashNewsMessage {
+    const nowMs = this.ctx.clock.monotonicMs();
+    const requests = this.record.list(nowMs).map(([fingerprint, endings]) => ({
+      fingerprint,
+      endings: endings.map(({replica, sentMs, atMs}) => ({
+        replica,
+        sentAgoMs: Math.max(0, nowMs - sentMs),
+        agoMs: Math.max(0, nowMs - atMs),
+      })),
+      withdrawn: [],
+      served: false,
+    }));
+    return {type: 'crash_news', requests};
   }
 
   /** Takes in what another gateway has found. */
-  take(message: SuspectMessage): void {
-    this.suspects.take(message, this.ctx.clock.monotonicMs());
+  take({requests}: CrashNewsMessage): void {
+    const nowMs = this.ctx.clock.monotonicMs();
+    for (const {fingerprint, endings, withdrawn, served} of requests) {
+      if (served) this.record.clear(fingerprint);
+      for (const replica of withdrawn) this.record.withdraw(fingerprint, replica);
+      for (const {replica, sentAgoMs, agoMs} of endings) {
+        this.add(fingerprint, replica, nowMs - sentAgoMs, nowMs - agoMs);
+      }
+    }
   }
 
   dispose(): void {
     clearInterval(this.timer);
   }
 
-  private confirm(): void {
+  private watch(seen: Pick<Watched, 'fingerprint' | 'replica' | 'sentMs' | 'weight'>): void {
+    const atMs = this.ctx.clock.monotonicMs();
+    const watched = {...seen, atMs, told: false, soundMs: 0};
+    this.watched.push(watched);
+    if (this.watched.length > MAX_WATCHED) this.watched.shift();
+    if (seen.weight === 'presumed') this.count(watched);
+    this.timer ??= setInterval(() => this.look(), LOOK_INTERVAL_MS);
+  }
+
+  /** Counts an ending here; one that holds the request back is told at once. */
+  private count(found: Watched): void {
+    const {fingerprint, replica, sentMs, atMs} = found;
+    if (!this.add(fingerprint, incarnationOf(replica), sentMs, atMs)) return;
+    if (this.record.decide(fingerprint, atMs).kind === 'free') return;
+    this.tellEnding(found);
+    this.flush();
+  }
+
+  /** @returns True when the ending is new here. */
+  private add(fingerprint: string, replica: string, sentMs: number, atMs: number): boolean {
     const nowMs = this.ctx.clock.monotonicMs();
-    const open: Cut[] = [];
-    for (const cut of this.cuts) {
-      if (this.ctx.isLost(cut.replica)) this.onCrash(cut);
-      else if (nowMs - cut.atMs < CONFIRM_MS) open.push(cut);
-      else this.drop(cut, 'unconfirmed');
+    const before = this.record.decide(fingerprint, nowMs).kind;
+    if (!this.record.add(fingerprint, {replica, sentMs, atMs})) return false;
+    const decision = this.record.decide(fingerprint, nowMs);
+    if (decision.kind !== before) {
+      const endings = this.record.endingsOf(fingerprint).length;
+      this.ctx.log.warn('request suspected', {fingerprint, replica, endings, ...decision});
     }
-    this.cuts = open;
-    if (open.length > 0) return;
+    return true;
+  }
+
+  private look(): void {
+    const nowMs = this.ctx.clock.monotonicMs();
+    const isSound = this.ctx.isListSound();
+    this.watched = this.watched.filter(found => this.isOpen(found, nowMs, isSound));
+    this.flush();
+    if (this.watched.length > 0) return;
     clearInterval(this.timer);
     this.timer = undefined;
   }
 
-  private onCrash(cut: Cut): void {
-    const {fingerprint, replica, sentMs, atMs} = cut;
-    // Replicas that crash together tell nothing of the requests that were on all of them.
-    if (sentMs < this.suspects.reportedMs(fingerprint)) return this.drop(cut, 'overlapping');
-    const crashes = this.suspects.crashesOf(fingerprint, atMs) + 1;
-    this.suspects.report(fingerprint, crashes, atMs);
-    this.ctx.evidence.increment('confirmed');
-    this.ctx.log.warn('request suspected', {fingerprint, crashes, replica: replica.id});
-    this.ctx.announce({type: 'suspect', fingerprint, crashes, cleared: false});
+  /** True while it is not known whether the replica has ended. */
+  private isOpen(found: Watched, nowMs: number, isSound: boolean): boolean {
+    const {replica, atMs} = found;
+    if (this.ctx.isLost(replica)) {
+      // A replica that was about to leave has not been ended by a request that was given up.
+      if (found.weight === 'possible' && replica.entry.leaving) return false;
+      this.ctx.evidence.increment('confirmed');
+      this.count(found);
+      this.tellEnding(found);
+      return false;
+    }
+    if (replica.stewardSawAliveSince(atMs) || replica.answeredWithin(atMs, RESTART_MS)) {
+      this.withdraw(found, 'alive');
+      return false;
+    }
+    if (isSound) found.soundMs += LOOK_INTERVAL_MS;
+    if (found.soundMs >= CONFIRM_MS) {
+      this.withdraw(found, 'listed');
+      return false;
+    }
+    if (found.weight === 'presumed' && nowMs - atMs >= TELL_AFTER_MS) this.tellEnding(found);
+    return true;
   }
 
-  private drop({fingerprint, replica, atMs}: Cut, outcome: 'unconfirmed' | 'overlapping'): void {
+  private withdraw(found: Watched, outcome: 'alive' | 'listed'): void {
+    if (found.weight === 'possible') return;
+    const {fingerprint, replica} = found;
+    const incarnation = incarnationOf(replica);
     this.ctx.evidence.increment(outcome);
-    const ageMs = Math.round(this.ctx.clock.monotonicMs() - atMs);
-    this.ctx.log.info('crash evidence dropped', {
-      fingerprint,
-      replica: replica.id,
-      outcome,
-      ageMs,
-    });
+    this.record.withdraw(fingerprint, incarnation);
+    if (!found.told) return;
+    this.ctx.log.info('crash evidence withdrawn', {fingerprint, replica: replica.id, outcome});
+    this.tell({fingerprint, endings: [], withdrawn: [incarnation], served: false});
+  }
+
+  private tellEnding(found: Watched): void {
+    if (found.told) return;
+    found.told = true;
+    const {fingerprint, replica, sentMs, atMs} = found;
+    const nowMs = this.ctx.clock.monotonicMs();
+    const ending = {
+      replica: incarnationOf(replica),
+      sentAgoMs: Math.max(0, nowMs - sentMs),
+      agoMs: Math.max(0, nowMs - atMs),
+    };
+    this.tell({fingerprint, endings: [ending], withdrawn: [], served: false});
+  }
+
+  /** Puts news into the next message. */
+  private tell(news: CrashNews): void {
+    const before = this.untold.get(news.fingerprint);
+    const endings = [...(before?.endings ?? []), ...news.endings];
+    const withdrawn = [...(before?.withdrawn ?? []), ...news.withdrawn];
+    this.untold.set(news.fingerprint, {...news, endings, withdrawn});
+  }
+
+  private flush(): void {
+    if (this.untold.size === 0) return;
+    const requests = [...this.untold.values()];
+    this.untold = new Map();
+    this.ctx.announce({type: 'crash_news', requests});
   }
 }
 
-/** The same for each time that a caller sends the request. */
-function fingerprintOf({method, path, body}: RepeatableRequest): string {
+/** The same for each time that a caller sends the request. @internal */
+export function fingerprintOf({method, path, body}: RepeatableRequest): string {
   const digest = sha256Hex(Buffer.concat([Buffer.from(`${method} ${path}\n`), body]));
   return digest.slice(0, FINGERPRINT_DIGITS);
 }
+
+function incarnationOf({entry}: Replica): string {
+  return `${entry.id}/${entry.bornMs}`;
+}
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -44,6 +44,8 @@
   readonly excluded: ReadonlySet<string>;
   send(replica: Replica, inputs: Readonly<Record<string, unknown>>): void;
   refuse(reason: string, retryAfterMs: number, inputs: Readonly<Record<string, unknown>>): void;
+  /** Time for which it must reach no replica, because it seems to crash them; 0 when it may. */
+  heldBackMs(): number;
 }
 
 /** @internal */
@@ -178,6 +180,12 @@
         member.refuse('leaving', LEAVING_RETURN_MS, {});
         continue;
       }
+      const heldBackMs = member.heldBackMs();
+      if (heldBackMs > 0) {
+        this.leave(member);
+        member.refuse('crashes_replicas', heldBackMs, {});
+        continue;
+      }
       const model = modelKey(member);
       const key = `${model}/${member.generation.adapter}`;
       const state = waitingState(member, nowMs);
--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -72,6 +72,11 @@
     return !this.everConnected && this.failures === 0;
   }
 
+  /** True while what has changed in the store is known here within a watch's time. */
+  get isSound(): boolean {
+    return (this.connected || this.isRelayed()) && !this.isSettling();
+  }
+
   start(): void {
     void this.run();
   }
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -8,7 +8,7 @@
   'answered' | 'refused' | 'failed' | 'cut' | 'timed_out' | 'caller_gone' | 'no_route' | 'rejected';
 
 /** What became of attempts whose connection ended before the answer did. @internal */
-export type CrashEvidence = 'cut' | 'confirmed' | 'unconfirmed' | 'overlapping';
+export type CrashEvidence = 'cut' | 'confirmed' | 'alive' | 'listed';
 
 /** @internal */
 export interface GatewayMetrics {
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -2,12 +2,12 @@
 import {Disposer, type CounterFamily, type HostPort, type Logger} from '@jasminepost/core';
 import {
   MeshClient,
+  type CrashNewsMessage,
   type HelloGuard,
   type LinkFault,
   type MemberInfo,
   type ModelDemandMessage,
   type StoreChangesMessage,
-  type SuspectMessage,
 } from '@jasminepost/mesh';
 
 const REPORT_INTERVAL_MS = 250;
@@ -22,8 +22,8 @@
   onOwnDemand(message: ModelDemandMessage): void;
   /** Called for what the planner's gateway has read from the store. */
   onStoreChanges(message: StoreChangesMessage): void;
-  /** Called for a request that another gateway has found to crash replicas. */
-  onSuspect(message: SuspectMessage): void;
+  /** Called for what another gateway tells of requests that crash replicas. */
+  onCrashNews(message: CrashNewsMessage): void;
 }
 
 /** @internal */
@@ -58,7 +58,7 @@
       {
         onUp: () => this.log.info('planner linked', {host: address.host}),
         onMessage: (_client, message) => {
-          if (message.type === 'suspect') this.events.onSuspect(message);
+          if (message.type === 'crash_news') this.events.onCrashNews(message);
           if (message.type === 'store_changes') this.events.onStoreChanges(message);
         },
         onDown: (_client, fault) => this.log.info('planner lost', {host: address.host, fault}),
@@ -75,10 +75,10 @@
   }
 
   /** Tells the planner, which tells all gateways. */
-  announce(message: SuspectMessage): void {
+  announce(message: CrashNewsMessage): void {
     if (this.client?.link?.send(message) === true) return;
-    const {fingerprint, crashes} = message;
-    this.log.warn('suspect not announced', {fingerprint, crashes, reason: 'no link to a planner'});
+    const {length} = message.requests;
+    this.log.warn('crash news not sent', {requests: length, reason: 'no link to a planner'});
   }
 
   dispose(): void {
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -3,6 +3,7 @@
 import {TermLease, type KeyValueStore} from '@jasminepost/key_value';
 import {
   MeshServer,
+  type CrashNewsMessage,
   type HelloGuard,
   type LinkFault,
   type MemberInfo,
@@ -10,7 +11,6 @@
   type MeshMessage,
   type ModelDemandMessage,
   type StoreChangesMessage,
-  type SuspectMessage,
 } from '@jasminepost/mesh';
 import type {StoreChange} from '@jasminepost/platform';
 import type {LoadAccount} from '@jasminepost/policy';
@@ -40,9 +40,9 @@
   readonly guard: HelloGuard;
   readonly faults: CounterFamily<LinkFault>;
   takeDemand(): ModelDemandMessage;
-  /** Requests that are known here to crash replicas. */
-  suspects(): readonly SuspectMessage[];
-  onSuspect(message: SuspectMessage): void;
+  /** What is known here of requests that crash replicas. */
+  crashNews(): CrashNewsMessage;
+  onCrashNews(message: CrashNewsMessage): void;
   /** Called for what the planner's gateway has read from the store. */
   onStoreChanges(message: StoreChangesMessage): void;
 }
@@ -77,14 +77,14 @@
       takeDemand: () => ctx.takeDemand(),
       onOwnDemand: message => this.desk.takeDemand(self.id, message),
       onStoreChanges: message => ctx.onStoreChanges(message),
-      onSuspect: message => ctx.onSuspect(message),
+      onCrashNews: message => ctx.onCrashNews(message),
     });
     this.mesh = new MeshServer(
       self,
       guard,
       {
         onLink: link => {
-          for (const suspect of ctx.suspects()) link.send(suspect);
+          link.send(ctx.crashNews());
         },
         onMessage: (link, message) => this.receive(link, message),
         onLinkLost: () => undefined,
@@ -122,8 +122,8 @@
     if (this.isRelay) this.mesh.broadcast(message);
   }
 
-  /** Tells the other gateways of a request that crashes replicas, by way of the planner. */
-  announce(message: SuspectMessage): void {
+  /** Tells the other gateways of requests that crash replicas, by way of the planner. */
+  announce(message: CrashNewsMessage): void {
     if (this.link.isOwnRole) this.mesh.broadcast(message);
     else this.link.announce(message);
   }
@@ -149,8 +149,8 @@
       case 'model_demand':
         this.desk.takeDemand(link.peer?.id ?? '', message);
         return;
-      case 'suspect':
-        this.ctx.onSuspect(message);
+      case 'crash_news':
+        this.ctx.onCrashNews(message);
         this.mesh.broadcast(message);
         return;
       default:
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -7,6 +7,8 @@
 
 /** A steward's load report that is older than two of its intervals says nothing of the load now. */
 const LOAD_VALID_INTERVALS = 2;
+/** Time in which a steward notices that its replica has ended, with the way of its word. */
+const STEWARD_NOTICE_MS = 700;
 /** Start of the estimate of one request's time at a plain service. */
 const INITIAL_SERVICE_MS = 50;
 /** Start of the estimate of the time up to a first event. */
@@ -33,6 +35,8 @@
   private stated: StatedLoad | undefined;
   private statedMs = 0;
   private inFlightAtStated = 0;
+  /** Newest request that it has answered, by when that was sent and answered. */
+  private answered = {sentMs: Number.NEGATIVE_INFINITY, atMs: Number.NEGATIVE_INFINITY};
 
   /** @param onHoldsChanged - Called when it may hold something else, or be usable no more. */
   constructor(
@@ -121,6 +125,23 @@
     this.inFlightAtStated = this.inFlight;
   }
 
+  /** Notes an answer of this very replica. */
+  onAnswered(sentMs: number, atMs: number): void {
+    if (sentMs > this.answered.sentMs) this.answered = {sentMs, atMs};
+  }
+
+  /** True when it has answered a request that was sent after `sinceMs`, and within `limitMs` of it. */
+  answeredWithin(sinceMs: number, limitMs: number): boolean {
+    const {sentMs, atMs} = this.answered;
+    return sentMs > sinceMs && atMs < sinceMs + limitMs;
+  }
+
+  /** True when its steward has read reports of the same start since. */
+  stewardSawAliveSince(sinceMs: number): boolean {
+    if (this.stewardAccount() === undefined) return false;
+    return this.loadMs > sinceMs + STEWARD_NOTICE_MS;
+  }
+
   learnPrefill(prefillMs: number): void {
     this.prefillMs += ESTIMATE_WEIGHT * (prefillMs - this.prefillMs);
   }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -28,6 +28,7 @@
 import {ReplicaTable} from './lib/replica_table.ts';
 import {RetryBudgets} from './lib/retry_budgets.ts';
 import {StewardLinks} from './lib/steward_links.ts';
+import {TrialPermit} from './lib/trial_permit.ts';
 import type {GatewaySettings} from './settings.ts';
 
 /** Gateways assumed before the stewards have counted them. */
@@ -69,11 +70,15 @@
     onRemoved: replica => links.remove(replica),
     onChanged: () => line.wake(),
   });
+  const permit = new TrialPermit(store, own.id, own.minLeaseMs, log);
   const crashes = new CrashWatch({
     clock,
     log,
     evidence: metrics.crashEvidence,
+    self: own.id,
     isLost: replica => replica.hasEnded || table.replicas.get(replica.id) !== replica,
+    isListSound: () => feed.isSound,
+    takeTrial: fingerprint => permit.take(fingerprint),
     announce: message => planner.announce(message),
   });
   const estimator = new PrefillEstimator();
@@ -135,8 +140,8 @@
     place: (replica, message) => links.place(replica, message),
     onMove: move => metrics.placements.increment(move.source),
     takeDemand: () => demand.take(line.waitingByModel()),
-    suspects: () => crashes.list(),
-    onSuspect: message => crashes.take(message),
+    crashNews: () => crashes.list(),
+    onCrashNews: message => crashes.take(message),
     onStoreChanges: message => feed.takeRelayed(message),
   });
   const feed = new FleetFeed(store, log, {
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -42,3 +42,6 @@
     And a draft with the body "crash" crashes its engine, which comes back
     When callers send the draft "crash" 5 times at once, each of 60000 tokens
     Then the request has ended at most 2 replicas
+
+  Scenario: any series of copies at any gateways
+    Then in 200 drawn series at most 3 sends reach replicas later than 3000 ms after the third crash
--- a/features/steps/crashing_request_steps.ts
+++ b/features/steps/crashing_request_steps.ts
@@ -1,8 +1,10 @@
 /** Steps about requests that crash their replicas. */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import fc from 'fast-check';
 import {sleep} from '@jasminepost/core';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {copies, sendsAfterThird} from '../support/crash_history.ts';
 import type {UsersCall} from '../support/users_fleet.ts';
 import {of, replicas} from '../support/users_notes.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -123,3 +125,13 @@
   assert.ok(crashes > 0, 'no replica has ended');
   assert.ok(crashes <= most, String(crashes));
 });
+
+Then(
+  'in {int} drawn series at most {int} sends reach replicas later than {int} ms after the third crash',
+  function (series: number, most: number, contactMs: number) {
+    fc.assert(
+      fc.property(copies, drawn => sendsAfterThird(drawn, contactMs) <= most),
+      {numRuns: series, seed: 19},
+    );
+  },
+);
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -8,6 +8,7 @@
   ok,
   type Result,
 } from '@jasminepost/core';
+import {crashNews} from './crash_news.ts';
 
 const MAX_NAME = 256;
 const name = z.string().min(1).max(MAX_NAME);
@@ -280,6 +281,7 @@
   load,
   demand,
   suspect,
+  crashNews,
   start,
   cancel,
   ack,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,6 +13,7 @@
   type AdmissionLimits,
   type Ticket,
 } from './lib/admission.ts';
+export {CrashRecord, type CrashDecision, type CrashEnding} from './lib/crash_record.ts';
 export {
   decideQuarantine,
   SuspectList,
@@ -48,6 +49,7 @@
 } from './lib/engine_choice.ts';
 export {
   compareWaiting,
+  engineUrgency,
   isLateBehind,
   mayWait,
   waitingState,
--- a/packages/policy/src/lib/waiting_line.ts
+++ b/packages/policy/src/lib/waiting_line.ts
@@ -77,3 +77,21 @@
   if (a.priority !== b.priority) return a.priority - b.priority;
   return a.sendByMs - b.sendByMs;
 }
+
+/** Least urgent rank that a model replica knows; 0 is the most urgent. */
+const LAST_RANK = 9;
+
+/**
+ * Rank of a request at a model replica: one whose target is far off lets the others go first there,
+ * too.
+ *
+ * @example
+ * engineUrgency({priority: 1, patient: true}); // 4
+ * @public
+ */
+export function engineUrgency(request: {
+  readonly priority: number;
+  readonly patient: boolean;
+}): number {
+  return Math.min(LAST_RANK, request.priority * 2 + (request.patient ? 2 : 0));
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -18,4 +18,4 @@
   ReplicaEntry,
   WeightCopies,
 } from './lib/replica_entry.ts';
-export {NO_GENERATION, type Generation, type PromptPart} from './lib/generation.ts';
+export {NO_GENERATION, tokensOf, type Generation, type PromptPart} from './lib/generation.ts';
--- a/packages/serving/src/lib/generation.ts
+++ b/packages/serving/src/lib/generation.ts
@@ -25,3 +25,14 @@
   maxTokensOut: 0,
   parts: [],
 };
+
+/**
+ * Tokens that a generation holds at a replica when it is complete; 0 for none.
+ *
+ * @example
+ * replica.kvTokens += tokensOf(head.generation);
+ * @public
+ */
+export function tokensOf(generation: Generation | undefined): number {
+  return generation === undefined ? 0 : generation.tokensIn + generation.maxTokensOut;
+}
