Tell all gateways of crashing requests, by the store where the planner is not heard

Cause, second part: what one gateway knew went once, by way of the planner's gateway; without a link it was dropped, and a gateway that started again knew what the planner knew, which may have started again, too. Change: news is sent again on each new link, in both directions.

--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -77,6 +77,11 @@
     return (this.connected || this.isRelayed()) && !this.isSettling();
   }
 
+  /** True while the planner's gateway tells what it reads. */
+  get isPlannerHeard(): boolean {
+    return this.isRelayed();
+  }
+
   start(): void {
     void this.run();
   }
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -22,6 +22,8 @@
   onOwnDemand(message: ModelDemandMessage): void;
   /** Called for what the planner's gateway has read from the store. */
   onStoreChanges(message: StoreChangesMessage): void;
+  /** What is known here of requests that crash replicas. */
+  crashNews(): CrashNewsMessage;
   /** Called for what another gateway tells of requests that crash replicas. */
   onCrashNews(message: CrashNewsMessage): void;
 }
@@ -56,7 +58,12 @@
       this.self,
       this.guard,
       {
-        onUp: () => this.log.info('planner linked', {host: address.host}),
+        onUp: client => {
+          this.log.info('planner linked', {host: address.host});
+          // What was told over an earlier link may have been lost with it.
+          const news = this.events.crashNews();
+          if (news.requests.length > 0) client.link?.send(news);
+        },
         onMessage: (_client, message) => {
           if (message.type === 'crash_news') this.events.onCrashNews(message);
           if (message.type === 'store_changes') this.events.onStoreChanges(message);
@@ -74,11 +81,12 @@
     return this.address !== undefined && this.isOwn(this.address);
   }
 
-  /** Tells the planner, which tells all gateways. */
-  announce(message: CrashNewsMessage): void {
-    if (this.client?.link?.send(message) === true) return;
+  /** Tells the planner, which tells all gateways; false without a link to it. */
+  announce(message: CrashNewsMessage): boolean {
+    if (this.client?.link?.send(message) === true) return true;
     const {length} = message.requests;
     this.log.warn('crash news not sent', {requests: length, reason: 'no link to a planner'});
+    return false;
   }
 
   dispose(): void {
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -77,6 +77,7 @@
       takeDemand: () => ctx.takeDemand(),
       onOwnDemand: message => this.desk.takeDemand(self.id, message),
       onStoreChanges: message => ctx.onStoreChanges(message),
+      crashNews: () => ctx.crashNews(),
       onCrashNews: message => ctx.onCrashNews(message),
     });
     this.mesh = new MeshServer(
@@ -84,7 +85,8 @@
       guard,
       {
         onLink: link => {
-          link.send(ctx.crashNews());
+          const news = ctx.crashNews();
+          if (news.requests.length > 0) link.send(news);
         },
         onMessage: (link, message) => this.receive(link, message),
         onLinkLost: () => undefined,
@@ -122,10 +124,11 @@
     if (this.isRelay) this.mesh.broadcast(message);
   }
 
-  /** Tells the other gateways of requests that crash replicas, by way of the planner. */
-  announce(message: CrashNewsMessage): void {
-    if (this.link.isOwnRole) this.mesh.broadcast(message);
-    else this.link.announce(message);
+  /** Tells the other gateways of requests that crash replicas, by way of the planner; false when that failed. */
+  announce(message: CrashNewsMessage): boolean {
+    if (!this.link.isOwnRole) return this.link.announce(message);
+    this.mesh.broadcast(message);
+    return true;
   }
 
   dispose(): void {
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -15,6 +15,7 @@
 import {RouteTable} from '@jasminepost/serving';
 import {CallerServer} from './lib/caller_server.ts';
 import {ConfigHolder} from './lib/config_holder.ts';
+import {CrashShare} from './lib/crash_share.ts';
 import {CrashWatch} from './lib/crash_watch.ts';
 import {DemandMeter} from './lib/demand_meter.ts';
 import {EngineLine} from './lib/engine_line.ts';
@@ -79,7 +80,17 @@
     isLost: replica => replica.hasEnded || table.replicas.get(replica.id) !== replica,
     isListSound: () => feed.isSound,
     takeTrial: fingerprint => permit.take(fingerprint),
+    announce: message => share.announce(message),
+  });
+  const share = new CrashShare({
+    store,
+    clock,
+    log,
+    self: own.id,
     announce: message => planner.announce(message),
+    isPlannerHeard: () => planner.isRelay || feed.isPlannerHeard,
+    list: () => crashes.list(),
+    take: message => crashes.take(message),
   });
   const estimator = new PrefillEstimator();
   const demand = new DemandMeter(estimator);
@@ -148,7 +159,10 @@
     onConfig: (text, revision) => config.take(text, revision),
     onReplicaSnapshot: (changes, afterOutage) => table.applySnapshot(changes, afterOutage),
     onReplicaChange: (change, afterOutage) => table.applyChange(change, afterOutage),
-    onOther: change => planner.takeChange(change),
+    onOther: change => {
+      planner.takeChange(change);
+      share.takeChange(change);
+    },
     isRelay: () => planner.isRelay,
     relay: message => planner.relay(message),
     gateways,
@@ -160,6 +174,7 @@
   };
 
   feed.start();
+  share.start();
   await server.listen(own.callers);
   await planner.start();
   await serveReadiness(own.readiness, notReadyReason);
@@ -176,6 +191,7 @@
     links.dispose();
     line.dispose();
     crashes.dispose();
+    share.dispose();
     table.dispose();
   });
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,4 +1,4 @@
-export {type CrashNewsMessage} from './lib/crash_news.ts';
+export {parseCrashNews, type CrashNewsMessage} from './lib/crash_news.ts';
 export {changeBetween, withChange} from './lib/engine_change.ts';
 export {FrameDecoder, encodeFrame, MAX_FRAME_BYTES} from './lib/frame_codec.ts';
 export {HelloGuard} from './lib/hello.ts';
--- a/packages/mesh/src/lib/crash_news.ts
+++ b/packages/mesh/src/lib/crash_news.ts
@@ -30,3 +30,14 @@
 
 /** @public */
 export type CrashNewsMessage = z.infer<typeof crashNews>;
+
+/**
+ * Checks news that came by another way than the mesh; undefined when it is malformed.
+ *
+ * @example
+ * const news = parseCrashNews(JSON.parse(text));
+ * @public
+ */
+export function parseCrashNews(value: unknown): CrashNewsMessage | undefined {
+  return crashNews.safeParse(value).data;
+}
