--- a/apps/gateway/src/lib/answer_relay.ts
+++ b/apps/gateway/src/lib/answer_relay.ts
@@ -32,6 +32,11 @@
     return this.joiner?.hasPartial === true;
   }
 
+  /** True when the run sends an event without end. */
+  get isEndless(): boolean {
+    return this.joiner?.isEndless === true;
+  }
+
   /** A resumed answer goes on under the head that the caller already has. */
   head(head: ReplicaHead, close: boolean): void {
     if (this.started) return;
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -208,8 +208,7 @@
     if (head.load !== undefined) replica.onStatedLoad(head.load, nowMs);
     if (head.requestId !== '' && head.requestId !== this.head.requestId) {
       // An answer to an earlier request: the connection is out of step.
-      this.exchange?.abort();
-      this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail: 'foreign answer'}, true);
+      this.rejectAnswer('foreign answer');
       return;
     }
     if (head.status !== 421) replica.onAnswered(this.sentMs, nowMs);
@@ -239,7 +238,15 @@
 
   private onData(chunk: Buffer): boolean {
     if (this.firstEventMs === 0) this.onFirstEvent();
-    return this.relay.data(chunk, () => this.exchange?.resume());
+    const flowing = this.relay.data(chunk, () => this.exchange?.resume());
+    if (this.relay.isEndless) this.rejectAnswer('event without end');
+    return flowing;
+  }
+
+  /** Gives up an attempt whose answer is none. */
+  private rejectAnswer(detail: string): void {
+    this.exchange?.abort();
+    this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail}, true);
   }
 
   private onFirstEvent(): void {
--- a/apps/gateway/src/lib/sse_joiner.ts
+++ b/apps/gateway/src/lib/sse_joiner.ts
@@ -1,6 +1,8 @@
 /** Passes on whole events only, so that a stream can go on from another run. */
 
 const EVENT_END = Buffer.from('\n\n');
+/** A longer event has no end: models send a few tokens in each. */
+const MAX_EVENT_BYTES = 1_048_576;
 const ID_LINE = /^id:\s?(.*)$/m;
 
 /** @internal */
@@ -14,6 +16,11 @@
     return this.partial.length > 0;
   }
 
+  /** True when the event that has begun is too long to have an end. */
+  get isEndless(): boolean {
+    return this.partial.length > MAX_EVENT_BYTES;
+  }
+
   /** Takes bytes of a run and returns the whole events among them. */
   push(chunk: Buffer): Buffer {
     const data = this.partial.length === 0 ? chunk : Buffer.concat([this.partial, chunk]);
--- /dev/null
+++ b/features/steps/endless_answer_steps.ts
@@ -0,0 +1,92 @@
+/** Steps about replicas that send bytes without end. */
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
+import type {EndlessAnswer} from '../../stand_ins/users_platform/endless_answer.ts';
+import {until} from '../support/fleet_process.ts';
+import {of, replicas} from '../support/users_notes.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const PATHS: Readonly<Record<string, string>> = {
+  order: '/order/7',
+  draft: '/draft/7',
+  'long draft': '/long/7',
+};
+const OTHERS_EVERY_MS = 200;
+const CLOSED_WITHIN_MS = 1000;
+
+/** Most memory that a process has had, in MB. */
+function peakMb(pid: number): number {
+  const found = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
+  return Number(found![1]) / 1024;
+}
+
+When(
+  /^the replicas answer a (order|draft|long draft) with "(.*)" without end, while others are served$/,
+  async function (this: FleetWorld, request: string, what: EndlessAnswer) {
+    const found = of(this);
+    const {fleet} = found;
+    const other = request === 'order' ? '/draft/7' : '/order/7';
+    for (const replica of request === 'order' ? fleet.services : fleet.engines) {
+      replica.endless = what;
+    }
+    let ended = false;
+    const call = fleet.call({path: PATHS[request]}).then(answer => {
+      ended = true;
+      found.answers.push(answer);
+    });
+    while (!ended) {
+      const answer = await fleet.call({path: other});
+      assert.equal(answer.status, 200);
+      await sleep(OTHERS_EVERY_MS);
+    }
+    await call;
+  },
+);
+
+When(
+  'the engine that is asked first answers with {string} without end',
+  function (this: FleetWorld, what: EndlessAnswer) {
+    const {engines} = of(this).fleet;
+    for (const engine of engines) {
+      engine.endless = what;
+      engine.onEndless = () => {
+        for (const each of engines) each.endless = undefined;
+      };
+    }
+  },
+);
+
+When(
+  "the first engine's reports have {string} without end for {int} ms",
+  async function (this: FleetWorld, what: EndlessAnswer, forMs: number) {
+    of(this).fleet.engines[0].endlessReport = what;
+    await sleep(forMs);
+  },
+);
+
+Then(
+  "the caller's connection has ended within {int} ms, without a whole answer",
+  function (this: FleetWorld, withinMs: number) {
+    const [{status, cut, tookMs}] = of(this).answers;
+    assert.ok(tookMs <= withinMs, String(tookMs));
+    assert.ok(cut || status >= 500, `${status}, ${cut ? 'cut' : 'whole'}`);
+  },
+);
+
+Then("the replica's connection has been closed", async function (this: FleetWorld) {
+  await until('a closed connection', CLOSED_WITHIN_MS, async () =>
+    replicas(this).every(replica => replica.endlessConnections === 0) ? true : undefined,
+  );
+});
+
+Then('the gateway has stayed under {int} MB', function (this: FleetWorld, most: number) {
+  const peak = peakMb(of(this).fleet.gateways[0].process.pid);
+  assert.ok(peak < most, `${peak} MB`);
+});
+
+Then('the steward has stayed under {int} MB', function (this: FleetWorld, most: number) {
+  const peak = peakMb(of(this).fleet.stewards[0].pid);
+  assert.ok(peak < most, `${peak} MB`);
+});
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import {resetNow, sleep} from '@jasminepost/core';
 import {sendJson} from '../json_server.ts';
+import {writeWithoutEnd, type EndlessAnswer} from './endless_answer.ts';
 
 /** What goes wrong with the requests to come. */
 export type ReplicaFault =
@@ -40,6 +41,9 @@
 
 const EVENTS = 4;
 const ADAPTER_MS = 10;
+/** Rates of answers and reports that have no end. */
+const ANSWER_BYTES_PER_MS = 128 * 1024;
+const REPORT_BYTES_PER_MS = 1024 * 1024;
 
 export class UsersReplica {
   fault: ReplicaFault = 'none';
@@ -51,6 +55,12 @@
   loadMs = 60;
   /** Pause between two events of a stream. */
   eventMs = 15;
+  /** Every answer, or every report, goes on like this without end. */
+  endless: EndlessAnswer | undefined;
+  endlessReport: EndlessAnswer | undefined;
+  onEndless: () => void = () => undefined;
+  /** Connections on which such an answer goes on. */
+  endlessConnections = 0;
   /** A request with this body crashes the replica. */
   crashingBody: string | undefined;
   /** It runs such a request for this long, even if its caller leaves. */
@@ -149,6 +159,10 @@
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readText(req);
+    if (req.url === '/-/report' && this.endlessReport !== undefined) {
+      writeWithoutEnd(req.socket, this.endlessReport, 'HTTP/1.1 200 OK\r\n', REPORT_BYTES_PER_MS);
+      return;
+    }
     if (req.url === '/-/report') return this.report(res);
     if (req.url === '/-/order') return this.order(JSON.parse(body) as Order, req, res);
     if (this.refuses(req, res)) return;
@@ -201,6 +215,21 @@
     const text = `answer of ${this.id} to ${seen.id}`;
     const length = {'content-length': String(text.length)};
     const {socket} = req;
+    if (this.endless !== undefined) {
+      const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+      this.endlessConnections += 1;
+      const head = `HTTP/1.1 200 OK\r\n${lines.join('')}`;
+      const kind = this.endless;
+      this.onEndless();
+      writeWithoutEnd(
+        socket,
+        kind,
+        head,
+        ANSWER_BYTES_PER_MS,
+        () => (this.endlessConnections -= 1),
+      );
+      return;
+    }
     switch (this.fault) {
       case 'sheds without saying so':
         res.writeHead(503, {...headers, 'content-length': '0'}).end();
