--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -48,6 +48,8 @@
   relay(message: StoreChangesMessage): void;
   /** Gateways that follow the store. */
   gateways(): number;
+  /** Gateways that this one tells what it reads, with itself. */
+  linkedGateways(): number;
 }
 
 /** @internal */
@@ -60,6 +62,8 @@
   private settledMs = Number.NEGATIVE_INFINITY;
   private relayedMs = Number.NEGATIVE_INFINITY;
   private relayedSettling = false;
+  /** Gateways that the planner's has counted last; 0 before the first word of it. */
+  countedGateways = 0;
 
   constructor(
     private readonly store: StoreClient,
@@ -91,7 +95,8 @@
   }
 
   /** Takes in what the planner's gateway has read, if nothing is missing in between. */
-  takeRelayed({since, revision, settling, changes}: StoreChangesMessage): void {
+  takeRelayed({since, revision, settling, gateways, changes}: StoreChangesMessage): void {
+    this.countedGateways = gateways;
     if (this.revision < 0 || since > this.revision || this.events.isRelay()) return;
     this.relayedMs = performance.now();
     this.relayedSettling = settling;
@@ -165,6 +170,7 @@
       since,
       revision: this.revision,
       settling: this.isSettling(),
+      gateways: this.events.linkedGateways(),
       changes,
     });
     if (found.changes.length > 0) await sleep(this.gatherMs(), signal);
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -119,6 +119,11 @@
     return this.link.isOwnRole;
   }
 
+  /** Gateways linked to this one, with itself; 0 while another plans. */
+  get linkedGateways(): number {
+    return this.isRelay ? this.mesh.links.size + 1 : 0;
+  }
+
   /** Tells the other gateways what has been read from the store. */
   relay(message: StoreChangesMessage): void {
     if (this.isRelay) this.mesh.broadcast(message);
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -21,6 +21,7 @@
 import {EngineLine} from './lib/engine_line.ts';
 import {FleetFeed} from './lib/fleet_feed.ts';
 import type {GatewayContext} from './lib/gateway_context.ts';
+import {GatewayCount} from './lib/gateway_count.ts';
 import {createGatewayMetrics} from './lib/gateway_metrics.ts';
 import {GracefulStop} from './lib/graceful_stop.ts';
 import {PlannerRole} from './lib/planner_role.ts';
@@ -32,7 +33,7 @@
 import {TrialPermit} from './lib/trial_permit.ts';
 import type {GatewaySettings} from './settings.ts';
 
-/** Gateways assumed before the stewards have counted them. */
+/** Gateways assumed before the planner's or the stewards have counted them. */
 const ASSUMED_GATEWAYS = 4;
 
 /** Starts a gateway; resolves once it listens. */
@@ -108,7 +109,11 @@
   });
   const {retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs} = own.bounds;
   const budgets = new RetryBudgets({ratio, slack, windowMs}, clock.monotonicMs());
-  const gateways = () => Math.max(ASSUMED_GATEWAYS, table.gateways());
+  const gatewayCount = new GatewayCount(ASSUMED_GATEWAYS, log);
+  const gateways = (): number => {
+    const counts = [table.gateways(), feed.countedGateways, planner.linkedGateways];
+    return gatewayCount.note(Math.max(...counts), clock.monotonicMs());
+  };
   const ctx: GatewayContext = {
     clock,
     log,
@@ -152,7 +157,7 @@
     onCrashNews: message => crashes.take(message),
     onStoreChanges: message => feed.takeRelayed(message),
   });
-  const feed = new FleetFeed(store, log, {
+  const feed: FleetFeed = new FleetFeed(store, log, {
     onConfig: (text, revision) => config.take(text, revision),
     onReplicaSnapshot: (changes, afterOutage) => table.applySnapshot(changes, afterOutage),
     onReplicaChange: (change, afterOutage) => table.applyChange(change, afterOutage),
@@ -163,6 +168,7 @@
     isRelay: () => planner.isRelay,
     relay: message => planner.relay(message),
     gateways,
+    linkedGateways: () => planner.linkedGateways,
   });
   const notReadyReason = () => {
     if (stop.draining) return 'draining';
--- a/features/steps/users_platform_checks.ts
+++ b/features/steps/users_platform_checks.ts
@@ -215,3 +215,10 @@
     await Promise.all(inForce);
   },
 );
+
+Then('each gateway has counted {int} gateways', function (this: FleetWorld, count: number) {
+  for (const {process} of of(this).fleet.gateways) {
+    const counts = [...process.log.join('').matchAll(/"count":(\d+),[^}]*"gateways counted"/g)];
+    assert.equal(Number(counts.at(-1)?.[1]), count);
+  }
+});
--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -62,6 +62,17 @@
   await send(this, '/order/7?copy=1', 1);
 });
 
+When(
+  'a caller sends an order to each gateway {int} ms after the start',
+  async function (this: FleetWorld, afterMs: number) {
+    const found = of(this);
+    await sleep(afterMs);
+    for (const gateway of found.fleet.gateways.keys()) {
+      found.answers.push(await found.fleet.call({path: '/order/7', gateway}));
+    }
+  },
+);
+
 When('a caller sends {int} orders', async function (this: FleetWorld, count: number) {
   await send(this, '/order/7', count);
 });
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -161,6 +161,11 @@
     Then the store was asked for changes at most 18 times
     And a configuration that adds the route "added" is in force at each gateway within 1200 ms
 
+  Scenario: gateways of a fleet without stewards share the retry slack
+    Given a users' fleet of 1 service replicas, 0 engines and 6 gateway
+    When a caller sends an order to each gateway 5000 ms after the start
+    Then each gateway has counted 6 gateways
+
   Scenario: the planner's gateway stands still
     Given a users' fleet of 1 service replicas, 1 engines and 3 gateway
     When the planner's gateway stands still
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -222,6 +222,8 @@
   revision: count,
   /** True while entries that lapsed in an outage may still come back. */
   settling: z.boolean(),
+  /** Gateways linked to the planner's, with itself. */
+  gateways: count,
   changes: z
     .array(z.object({key: name, revision: count, value: z.string().optional()}))
     .max(65_536),
