Keep requests from replicas that say that they leave or ask for a pause

Cause: a replica's own word was not read. Server-Leaving and Retry-After on its answers changed nothing; only its list entry did, which may say ready. One state a replica with a table of transitions (open, tripped, paused, probed, leaving) takes the place of the circuit. Leaving holds for that start, also when its entry is listed anew; stewards see it in reports, tell all gateways and give no more orders. After a pause one request goes first, gateways within 200 ms of each other; where every replica pauses beyond what a caller can wait, it is refused at once.

--- /dev/null
+++ b/apps/gateway/src/lib/answer_notes.ts
@@ -0,0 +1,29 @@
+/** What the head of an answer tells of its replica: load, leaving, a wish for a pause. */
+import type {ReplicaHead} from '@jasminepost/platform';
+import type {GatewayContext} from './gateway_context.ts';
+import type {Replica} from './replica.ts';
+
+/** Gateways that were turned away together come back one after the other within this. */
+const PAUSE_SPREAD_MS = 200;
+
+/** @internal */
+export function noteHead(ctx: GatewayContext, replica: Replica, head: ReplicaHead): void {
+  const {clock, line, log} = ctx;
+  const nowMs = clock.monotonicMs();
+  if (head.load !== undefined) replica.onStatedLoad(head.load, nowMs);
+  // The address may belong to another replica by now, which speaks of itself.
+  if (head.status === 421 && head.replicaId !== '' && head.replicaId !== replica.id) return;
+  if (head.leaving && replica.note({kind: 'said_leaving'}, nowMs)) {
+    log.info('replica leaves', {replica: replica.id, inFlight: replica.inFlight});
+    line.wake();
+    return;
+  }
+  const {pauseMs} = head;
+  if (pauseMs === undefined && !head.notRun) {
+    replica.note({kind: 'taken'}, nowMs);
+    return;
+  }
+  const spreadMs = pauseMs === undefined || pauseMs === 0 ? 0 : Math.random() * PAUSE_SPREAD_MS;
+  replica.note({kind: 'turned_away', pauseMs: (pauseMs ?? 0) + spreadMs}, nowMs);
+  if (spreadMs > 0) log.info('replica paused', {replica: replica.id, pauseMs});
+}
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -19,11 +19,12 @@
 import {answerFault} from './answer_fault.ts';
 import {AnswerRelay, sendOwnAnswer} from './answer_relay.ts';
 import {Attempt} from './attempt.ts';
+import {noteHead} from './answer_notes.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RepeatableRequest} from './crash_watch.ts';
+import type {LineMember} from './engine_line.ts';
 import type {GatewayContext} from './gateway_context.ts';
 import type {Ending} from './gateway_metrics.ts';
-import type {LineMember} from './engine_line.ts';
 import type {Replica} from './replica.ts';
 import {chooseServiceReplica} from './service_choice.ts';
 
@@ -34,6 +35,8 @@
 /** Least time that a request needs at a replica to be worth sending. */
 const MIN_SERVICE_MS = 40;
 const DEFAULT_RETRY_AFTER_MS = 300;
+/** Added to a replica's pause, so that a caller does not return just before its end. */
+const MIN_PAUSE_MS = 100;
 
 /** What ended one attempt. */
 type AttemptEnd = Readonly<{verdict: Verdict; detail: string}>;
@@ -112,6 +115,7 @@
     const attempt = new Attempt(replica, nowMs, tokensOf(this.head.generation));
     this.attempt = attempt;
     this.sends += 1;
+    replica.note({kind: 'sent'}, nowMs);
     metrics.waited.recordMs(nowMs - this.arrivedMs);
     log.info('request sent', {
       requestId: this.head.requestId,
@@ -161,9 +165,9 @@
       this.fail(502, reason, inputs);
       return;
     }
-    const leftMs = this.deadlineMs - this.ctx.clock.monotonicMs();
-    const [name, value] = retryAfterHeader(Math.min(retryAfterMs, Math.max(leftMs, 0)));
-    sendOwnAnswer(this.res, 503, reason, this.ctx.isDraining(), {[name]: value});
+    const leftMs = Math.max(0, this.deadlineMs - this.ctx.clock.monotonicMs());
+    const header = Object.fromEntries([retryAfterHeader(Math.min(retryAfterMs, leftMs))]);
+    sendOwnAnswer(this.res, 503, reason, this.ctx.isDraining(), header);
     this.finish('refused', {reason, retryAfterMs: Math.round(retryAfterMs), ...inputs});
   }
 
@@ -186,6 +190,10 @@
       return;
     }
     const choice = chooseServiceReplica(this.ctx, this.service, this.excluded);
+    if (choice.kind === 'paused') {
+      this.refuse('replicas_paused', choice.waitMs + MIN_PAUSE_MS, {listed: choice.listed});
+      return;
+    }
     if (choice.kind === 'none') {
       this.refuse('no_replica', DEFAULT_RETRY_AFTER_MS, {listed: choice.listed});
       return;
@@ -197,7 +205,7 @@
   private onHead(head: ReplicaHead): void {
     const {replica, sentMs} = this.attempt!;
     const nowMs = this.ctx.clock.monotonicMs();
-    if (head.load !== undefined) replica.onStatedLoad(head.load, nowMs);
+    noteHead(this.ctx, replica, head);
     if (head.requestId !== '' && head.requestId !== this.head.requestId) {
       // An answer to an earlier request: the connection is out of step.
       this.rejectAnswer('foreign answer');
@@ -257,8 +265,9 @@
 
   private onEnd(): void {
     const {replica, sentMs} = this.attempt!;
-    replica.circuit.onSuccess();
-    replica.learnService(this.ctx.clock.monotonicMs() - sentMs);
+    const nowMs = this.ctx.clock.monotonicMs();
+    replica.note({kind: 'answered'}, nowMs);
+    replica.learnService(nowMs - sentMs);
     this.endAttempt();
     if (this.relay.endsInEvent) {
       this.gate.onCut(replica, sentMs);
@@ -275,7 +284,7 @@
     const {clock, log, metrics} = this.ctx;
     const {replica, sentMs} = this.attempt!;
     const nowMs = clock.monotonicMs();
-    if (countFault) replica.circuit.onFailure(nowMs);
+    if (countFault) replica.note({kind: 'failed'}, nowMs);
     this.endAttempt();
     this.excluded.add(replica.id);
     const {verdict} = end;
@@ -333,7 +342,9 @@
 
   private abandon(): void {
     if (this.exchange === undefined) return;
-    this.gate.onGivenUp(this.attempt!.replica, this.attempt!.sentMs);
+    const {replica, sentMs} = this.attempt!;
+    this.gate.onGivenUp(replica, sentMs);
+    replica.note({kind: 'given_up'}, this.ctx.clock.monotonicMs());
     this.exchange.abort();
     this.endAttempt();
   }
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -66,8 +66,11 @@
   wishAdapter(replica: Replica, model: string, adapter: string): void;
 }
 
-/** `late_here`: it would be late at every replica, and others wait that would not be. */
-type Placing = 'sent' | 'full' | 'late_here' | 'no_holder' | 'adapter';
+/**
+ * `late_here`: it would be late at every replica, and others wait that would not be. `paused`: all
+ * holders have asked for a pause.
+ */
+type Placing = 'sent' | 'full' | 'late_here' | 'no_holder' | 'adapter' | 'paused';
 
 /** The requests of one rank that wait for one model; more urgent ones slow its pace. */
 interface RankLine {
@@ -113,6 +116,12 @@
         member.refuse('no_holder', returnMs(waitMs), {waitMs: Math.round(waitMs)});
         return;
       }
+    } else if (placing === 'paused') {
+      const waitMs = this.pauseMs(member, nowMs);
+      if (waitingState(member, nowMs + waitMs) === 'hopeless') {
+        member.refuse('replicas_paused', returnMs(waitMs), {waitMs: Math.round(waitMs)});
+        return;
+      }
     } else if (placing !== 'adapter') {
       const waitMs = this.lineOf(member).pace.waitMs(aheadInRank, nowMs);
       if (!mayWait(member, waitMs, nowMs)) {
@@ -207,6 +216,12 @@
         this.turnAway(member, 'overloaded', nowMs);
         continue;
       }
+      const pauseMs = placing === 'paused' ? this.pauseMs(member, nowMs) : 0;
+      if (pauseMs > 0 && waitingState(member, nowMs + pauseMs) === 'hopeless') {
+        this.leave(member);
+        member.refuse('replicas_paused', returnMs(pauseMs), {waitMs: Math.round(pauseMs)});
+        continue;
+      }
       this.members.set(member, placing);
       full.add(key);
       if (placing === 'full' && state === 'on_time') blocked.add(model);
@@ -237,9 +252,11 @@
     const holders = ctx.table
       .holders(service, generation.model)
       .filter(replica => !member.excluded.has(replica.id));
-    const healthy = holders.filter(replica => !replica.circuit.isOpen(nowMs));
-    const pool = healthy.length > 0 ? healthy : holders;
-    if (pool.length === 0) return 'no_holder';
+    if (holders.length === 0) return 'no_holder';
+    const open = holders.filter(replica => replica.mayTake(nowMs) !== 'no');
+    if (open.length === 0) return 'paused';
+    const healthy = open.filter(replica => replica.mayTake(nowMs) === 'yes');
+    const pool = healthy.length > 0 ? healthy : open;
     const able = pool.filter(replica => this.canServe(replica, generation));
     if (able.length === 0) return 'adapter';
     const candidates = able.map(replica =>
@@ -329,6 +346,12 @@
     return line;
   }
 
+  /** Time until the first of the model's holders takes requests again. */
+  private pauseMs({service, generation}: LineMember, nowMs: number): number {
+    const holders = this.ctx.table.holders(service, generation.model);
+    return Math.min(...holders.map(replica => replica.pauseLeftMs(nowMs)));
+  }
+
   /** Time in which some replica could have the model, from the nearest copy of its weights. */
   private loadTimeMs(member: LineMember): number {
     const {service, generation} = member;
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -2,7 +2,17 @@
 import {fnv1a32} from '@jasminepost/core';
 import type {EngineLoadMessage, EngineStateMessage} from '@jasminepost/mesh';
 import type {ReplicaChannel, StatedLoad} from '@jasminepost/platform';
-import {Circuit, type EngineCandidate, type RouteCandidate} from '@jasminepost/policy';
+import {
+  mayTake,
+  NEW_STANDING,
+  nextStanding,
+  pauseLeftMs,
+  type EngineCandidate,
+  type MayTake,
+  type ReplicaStanding,
+  type RouteCandidate,
+  type StandingEvent,
+} from '@jasminepost/policy';
 import type {HeldModel, ReplicaEntry, WeightCopies} from '@jasminepost/serving';
 
 /** A steward's load report that is older than two of its intervals says nothing of the load now. */
@@ -18,7 +28,6 @@
 /** @internal */
 export class Replica {
   readonly idHash: number;
-  readonly circuit = new Circuit();
   /** Requests of this gateway in progress there. */
   inFlight = 0;
   /** Those without a first event. */
@@ -27,6 +36,7 @@
   kvTokens = 0;
   serviceMs = INITIAL_SERVICE_MS;
   prefillMs = INITIAL_PREFILL_MS;
+  private standing: ReplicaStanding = NEW_STANDING;
   private isDisplaced = false;
   private account: EngineStateMessage | undefined;
   private load: EngineLoadMessage | undefined;
@@ -83,7 +93,31 @@
 
   /** True when new requests may go there. */
   get usable(): boolean {
-    return !this.entry.leaving && !this.hasEnded;
+    return !this.isLeaving && !this.hasEnded;
+  }
+
+  /** True when its entry, its steward or one of its own answers says that it leaves. */
+  get isLeaving(): boolean {
+    const told = this.stewardAccount()?.leaving === true;
+    return this.entry.leaving || told || this.standing.kind === 'leaving';
+  }
+
+  /** Takes in what happened to a request there; returns true when it is known to leave only now. */
+  note(event: StandingEvent, nowMs: number): boolean {
+    const before = this.standing;
+    this.standing = nextStanding(before, event, nowMs);
+    const leaves = this.standing.kind === 'leaving' && before.kind !== 'leaving';
+    if (leaves) this.onHoldsChanged();
+    return leaves;
+  }
+
+  mayTake(nowMs: number): MayTake {
+    return mayTake(this.standing, nowMs);
+  }
+
+  /** Milliseconds until it takes requests again; 0 when it has not asked for a pause. */
+  pauseLeftMs(nowMs: number): number {
+    return pauseLeftMs(this.standing, nowMs);
   }
 
   /** True when it is known to have ended. */
@@ -183,7 +217,7 @@
       ownInFlight: this.inFlight,
       ownAtReport: this.inFlightAtStated,
       slots: Math.max(1, this.entry.slots),
-      isBlocked: nowMs => this.circuit.isOpen(nowMs),
+      isBlocked: nowMs => this.mayTake(nowMs) === 'last_resort',
     };
   }
 
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -6,6 +6,8 @@
 
 /** Entries that lapsed in an outage of the store are back this long after its return. @internal */
 export const RETURN_GRACE_MS = 2000;
+/** Starts of replicas that are remembered as leaving. */
+const MAX_LEFT = 10_000;
 /** Longest time that a replica which has left keeps its connections for requests in progress. */
 const LINGER_MS = 30_000;
 
@@ -25,6 +27,8 @@
   private readonly malformed = new Set<string>();
   /** Keys that were missing after an outage, until the grace ends. */
   private readonly missing = new Set<string>();
+  /** Starts of replicas that have said that they leave, the newest last. */
+  private readonly left = new Set<string>();
   private graceTimer: NodeJS.Timeout | undefined;
   private services: ReadonlyMap<string, Service> = new Map();
   /** Usable holders by `service/model`; built anew after a change. */
@@ -127,6 +131,9 @@
     const maxConnections = this.services.get(entry.service)?.maxConnections ?? 64;
     const channel = new ReplicaChannel(entry.address, maxConnections);
     const replica = new Replica(entry, channel, () => (this.holdersByModel = undefined));
+    if (this.left.has(incarnationOf(entry))) {
+      replica.note({kind: 'said_leaving'}, this.clock.monotonicMs());
+    }
     this.replicas.set(entry.id, replica);
     this.holdersByModel = undefined;
     this.settleAddress(replica);
@@ -189,9 +196,15 @@
     for (const key of missing) this.remove(key, false);
   }
 
+  private keepLeft(entry: ReplicaEntry): void {
+    this.left.add(incarnationOf(entry));
+    if (this.left.size > MAX_LEFT) this.left.delete(this.left.values().next().value!);
+  }
+
   private drop(replica: Replica, reason: string): void {
     this.replicas.delete(replica.id);
     this.holdersByModel = undefined;
+    if (replica.isLeaving) this.keepLeft(replica.entry);
     this.log.info('replica gone', {replica: replica.id, reason, inFlight: replica.inFlight});
     const untilMs = this.clock.monotonicMs() + LINGER_MS;
     const close = () => {
@@ -205,6 +218,10 @@
   }
 }
 
+function incarnationOf({id, bornMs}: ReplicaEntry): string {
+  return `${id}/${bornMs}`;
+}
+
 function sameInstance(a: ReplicaEntry, b: ReplicaEntry): boolean {
   return a.bornMs === b.bornMs && a.service === b.service && sameAddress(a, b);
 }
--- a/apps/gateway/src/lib/service_choice.ts
+++ b/apps/gateway/src/lib/service_choice.ts
@@ -6,6 +6,8 @@
 /** @internal */
 export type ServiceChoice =
   | {readonly kind: 'chosen'; readonly replica: Replica; readonly candidate: RouteCandidate}
+  /** All have asked for a pause. */
+  | {readonly kind: 'paused'; readonly waitMs: number; readonly listed: number}
   | {readonly kind: 'none'; readonly listed: number};
 
 /** Plain services know no classes of requests; all count as paid. @internal */
@@ -14,7 +16,13 @@
   service: string,
   excluded: ReadonlySet<string>,
 ): ServiceChoice {
-  const replicas = ctx.table.ofService(service);
+  const nowMs = ctx.clock.monotonicMs();
+  const listed = ctx.table.ofService(service);
+  const replicas = listed.filter(replica => replica.mayTake(nowMs) !== 'no');
+  if (replicas.length === 0 && listed.length > 0) {
+    const waitMs = Math.min(...listed.map(replica => replica.pauseLeftMs(nowMs)));
+    return {kind: 'paused', waitMs, listed: listed.length};
+  }
   const candidates = replicas.map(replica => replica.asRouteCandidate());
   const choice = chooseReplica(
     candidates,
@@ -25,11 +33,11 @@
       prefixSavingMs: 0,
       crossZoneMs: ctx.crossZoneMs,
       entries: ctx.gateways(),
-      nowMs: ctx.clock.monotonicMs(),
+      nowMs,
       excluded,
     },
     Math.random,
   );
-  if (choice.kind === 'none') return {kind: 'none', listed: replicas.length};
+  if (choice.kind === 'none') return {kind: 'none', listed: listed.length};
   return {kind: 'chosen', replica: replicas[choice.index], candidate: candidates[choice.index]};
 }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -108,7 +108,8 @@
     wishAdapter: (replica, model, adapter) => links.wishAdapter(replica, model, adapter),
   });
   const {retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs} = own.bounds;
-  const budgets = new RetryBudgets({ratio, slack, windowMs}, clock.monotonicMs());
+  const startedMs = own.isFirstStart ? Number.NEGATIVE_INFINITY : clock.monotonicMs();
+  const budgets = new RetryBudgets({ratio, slack, windowMs}, startedMs);
   const gatewayCount = new GatewayCount(ASSUMED_GATEWAYS, log);
   const gateways = (): number => {
     const counts = [table.gateways(), feed.countedGateways, planner.linkedGateways];
--- a/apps/steward/src/lib/engine_watch.ts
+++ b/apps/steward/src/lib/engine_watch.ts
@@ -25,6 +25,7 @@
 const NOTHING_TOLD: EngineStateMessage = {
   type: 'engine_state',
   up: false,
+  leaving: false,
   bornMs: 0,
   models: [],
   moving: '',
@@ -121,6 +122,7 @@
     return {
       type: 'engine_state',
       up: report !== undefined,
+      leaving: report?.leaving === true,
       bornMs: report?.bornMs ?? 0,
       models: (report?.models ?? [])
         .filter(model => model.name !== unloading)
--- a/apps/steward/src/lib/order_desk.ts
+++ b/apps/steward/src/lib/order_desk.ts
@@ -124,6 +124,11 @@
     if (spec === undefined || !this.ctx.fence.ready) return this.pause(BUSY_POLL_MS);
     const report = await this.ctx.refresh();
     if (report === undefined) return this.pause(BUSY_POLL_MS);
+    if (report.leaving) {
+      this.drop();
+      this.wishes.clear();
+      return false;
+    }
     // The replica refuses every order while a model is on its way.
     if (report.busy) return this.pause(BUSY_POLL_MS);
     if (await this.serveWish(report, spec)) return true;
--- a/features/support/holder_history.ts
+++ b/features/support/holder_history.ts
@@ -98,6 +98,7 @@
 function accountOf(made: {up: boolean; born: number; models: string[]}): EngineStateMessage {
   return {
     type: 'engine_state',
+    leaving: false,
     up: made.up,
     bornMs: made.born,
     models: made.models.map(model => ({name: model, adapters: []})),
--- a/features/support/load_telling.ts
+++ b/features/support/load_telling.ts
@@ -63,6 +63,7 @@
 
 function reportAt(nowMs: number): EngineReport {
   return {
+    leaving: false,
     bornMs: 1,
     models: [],
     busy: false,
--- a/features/support/order_history.ts
+++ b/features/support/order_history.ts
@@ -36,6 +36,7 @@
 
   report(): EngineReport {
     return {
+      leaving: false,
       bornMs: 1,
       models: [...this.models].map(([name, adapters]) => ({name, adapters: [...adapters]})),
       busy: this.busy,
--- a/features/support/state_telling.ts
+++ b/features/support/state_telling.ts
@@ -26,6 +26,7 @@
 const state: fc.Arbitrary<EngineStateMessage> = fc.record({
   type: fc.constant('engine_state' as const),
   up: fc.boolean(),
+  leaving: fc.boolean(),
   bornMs: fc.nat({max: 2}),
   models,
   moving: fc.constantFrom('', 'rare'),
@@ -65,6 +66,7 @@
   const before: EngineStateMessage = {
     type: 'engine_state',
     up: true,
+    leaving: false,
     bornMs: 1_771_346_763_363,
     models: held.map(model => ({name: model, adapters: []})),
     moving: '',
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -1,5 +1,5 @@
 /** Gateways and stewards as processes, between stand-ins of the users' platform and replicas. */
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {request, type Agent} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -234,6 +234,9 @@
   /** Starts a gateway that has ended again, at its address. */
   restartGateway(index: number): void {
     const gateway = this.gateways[index];
+    const path = gateway.process.args[1];
+    const settings = JSON.parse(readFileSync(path, 'utf8')) as object;
+    writeFileSync(path, JSON.stringify({...settings, bootstrap: false}));
     gateway.process = new FleetProcess(gateway.process.program, gateway.process.args);
   }
 
@@ -303,6 +306,7 @@
     node,
     ip,
     zone: ZONE,
+    bootstrap: true,
     internalPorts: [7000, 7010],
     listenAddrs: {},
     limits: {memoryMb: 350},
--- a/packages/mesh/src/lib/engine_change.ts
+++ b/packages/mesh/src/lib/engine_change.ts
@@ -2,7 +2,16 @@
 import type {EngineChangeMessage, EngineStateMessage} from './messages.ts';
 
 /** Fields that a change repeats whole when they differ. */
-const WHOLE_FIELDS = ['up', 'bornMs', 'moving', 'inMemory', 'onDisk', 'term', 'closed'] as const;
+const WHOLE_FIELDS = [
+  'up',
+  'leaving',
+  'bornMs',
+  'moving',
+  'inMemory',
+  'onDisk',
+  'term',
+  'closed',
+] as const;
 
 /**
  * Change from one state to another. An adapter that comes or goes is the most frequent one; it
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -176,6 +176,8 @@
   /** False while the replica does not answer. */
   up: z.boolean(),
   /** Start of the replica's incarnation, in milliseconds since the Unix epoch. */
+  /** True when the replica says that it leaves. */
+  leaving: z.boolean(),
   bornMs: z.number(),
   models: z.array(z.object({name, adapters: z.array(name).max(4096)})).max(4096),
   /** Model that is being loaded or unloaded; empty when none is. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -67,3 +67,12 @@
   type PlanReplica,
 } from './lib/engine_plan.ts';
 export {requestTimes, type RequestTimes, type TimeInputs} from './lib/request_times.ts';
+export {
+  mayTake,
+  NEW_STANDING,
+  nextStanding,
+  pauseLeftMs,
+  type MayTake,
+  type ReplicaStanding,
+  type StandingEvent,
+} from './lib/replica_standing.ts';
--- a/packages/policy/src/lib/window_budget.ts
+++ b/packages/policy/src/lib/window_budget.ts
@@ -30,7 +30,7 @@
 export class WindowBudget {
   private readonly buckets: Bucket[] = [];
 
-  /** @param startedMs - Start of this process. */
+  /** @param startedMs - Start of this process; minus infinity when none was there before it. */
   constructor(
     private readonly limits: WindowBudgetLimits,
     private readonly startedMs: number,
--- a/packages/serving/src/lib/replica_entry.ts
+++ b/packages/serving/src/lib/replica_entry.ts
@@ -32,6 +32,8 @@
 /** A model replica's own report. @public */
 export interface EngineReport {
   readonly bornMs: number;
+  /** True when the replica says that it leaves. */
+  readonly leaving: boolean;
   readonly models: readonly HeldModel[];
   /** True while a model is being loaded or unloaded. */
   readonly busy: boolean;
--- a/stand_ins/users_platform/metadata_store.ts
+++ b/stand_ins/users_platform/metadata_store.ts
@@ -26,6 +26,15 @@
   readonly delete?: readonly string[];
 }
 
+/** @see MetadataStore.copy */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly oldest: number;
+  readonly items: readonly Item[];
+  readonly events: readonly Event[];
+  readonly leases: ReadonlyArray<readonly [number, {ttlMs: number; untilMs: number}]>;
+}
+
 const LEASE_CHECK_MS = 50;
 
 export class MetadataStore {
@@ -33,6 +42,8 @@
   /** Time before a call is looked at. */
   latencyMs = 0;
   readonly calls: string[] = [];
+  /** Rises each time that the store comes back from a copy. */
+  private era = 1;
   private revision = 1;
   private oldest = 0;
   private readonly items = new Map<string, Item>();
@@ -85,6 +96,30 @@
     for (const wake of [...this.waiting]) wake();
   }
 
+  /** A copy of everything, to come back from. */
+  copy(): StoreCopy {
+    return {
+      revision: this.revision,
+      oldest: this.oldest,
+      items: [...this.items.values()],
+      events: [...this.events],
+      leases: [...this.leases].map(([id, lease]) => [id, {...lease}]),
+    };
+  }
+
+  /** Comes back from a copy: what came after it is gone, and its revisions are given out again. */
+  comeBackFrom({revision, oldest, items, events, leases}: StoreCopy): void {
+    this.era += 1;
+    this.revision = revision;
+    this.oldest = oldest;
+    this.items.clear();
+    for (const item of items) this.items.set(item.key, item);
+    this.events.splice(0, this.events.length, ...events);
+    this.leases.clear();
+    for (const [id, lease] of leases) this.leases.set(id, {...lease});
+    for (const wake of [...this.waiting]) wake();
+  }
+
   private set(key: string, value: string, lease: number): void {
     this.revision += 1;
     const created = this.items.get(key)?.created ?? this.revision;
@@ -111,6 +146,12 @@
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const url = new URL(req.url ?? '/', 'http://store');
+    const writeHead = res.writeHead.bind(res) as (...all: unknown[]) => ServerResponse;
+    // The era is that of the moment of the answer, not of the call.
+    res.writeHead = (...args: unknown[]) => {
+      res.setHeader('store-era', String(this.era));
+      return writeHead(...args);
+    };
     this.calls.push(`${req.method} ${url.pathname}`);
     if (this.latencyMs > 0) await new Promise(resolve => setTimeout(resolve, this.latencyMs));
     if (this.mode === 'silent') return;
@@ -159,7 +200,7 @@
       sendJson(res, 200, {events, asOf: this.revision});
     };
     const look = () => {
-      if (after < this.oldest) {
+      if (after < this.oldest || after > this.revision) {
         this.waiting.delete(look);
         clearTimeout(timer);
         sendJson(res, 410, {});
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -47,6 +47,14 @@
 
 export class UsersReplica {
   fault: ReplicaFault = 'none';
+  /** True once it says in each answer that it leaves, whatever its entry says. */
+  saysLeaving = false;
+  /** With the fault 'sheds': what its refusals say of when to come back; undefined for nothing. */
+  pause: string | undefined;
+  /** When each request arrived, also those that it refused. */
+  readonly arrivalsMs: number[] = [];
+  /** When it first sent an answer that says that it leaves, or that asks for a pause. */
+  toldMs: number | undefined;
   /** Requests that have run. */
   readonly runs: SeenRequest[] = [];
   readonly orders: Order[] = [];
@@ -112,6 +120,7 @@
     this.busy = false;
     this.born = Date.now();
     this.sequence = 0;
+    this.saysLeaving = false;
     this.models.clear();
     this.server.closeAllConnections();
   }
@@ -159,12 +168,15 @@
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readText(req);
+    if (this.saysLeaving) res.setHeader('server-leaving', '1');
+    if (this.saysLeaving) this.toldMs ??= performance.now();
     if (req.url === '/-/report' && this.endlessReport !== undefined) {
       writeWithoutEnd(req.socket, this.endlessReport, 'HTTP/1.1 200 OK\r\n', REPORT_BYTES_PER_MS);
       return;
     }
     if (req.url === '/-/report') return this.report(res);
     if (req.url === '/-/order') return this.order(JSON.parse(body) as Order, req, res);
+    this.arrivalsMs.push(performance.now());
     if (this.refuses(req, res)) return;
     const seen: SeenRequest = {
       id: String(req.headers['request-id']),
@@ -199,7 +211,9 @@
       return true;
     }
     if (this.fault === 'sheds') {
-      res.writeHead(503, {'not-executed': '1', 'content-length': '0'}).end();
+      const pause = this.pause === undefined ? {} : {'retry-after': this.pause};
+      if (this.pause !== undefined) this.toldMs ??= performance.now();
+      res.writeHead(503, {'not-executed': '1', 'content-length': '0', ...pause}).end();
       return true;
     }
     return false;
