Hold on to nothing older when the store comes back from a copy

Cause: everything that is read from the store was compared by revision alone. A store that comes back from a copy gives revisions, leases, terms and fencing numbers out again: the planner's term stayed below what stewards knew, a steward that started again repeated its order numbers, replicas that had left were listed again, and a version with other content was passed over. Change: platform/ decodes the era of every answer; a revision counts with its era only. A gateway that reads for the others tells the era.

--- a/apps/gateway/src/lib/config_holder.ts
+++ b/apps/gateway/src/lib/config_holder.ts
@@ -1,11 +1,14 @@
 /** The configuration in force; it is never replaced by an older one. */
 import type {Logger} from '@jasminepost/core';
-import {decodeConfig} from '@jasminepost/platform';
+import {decodeConfig, type StorePoint} from '@jasminepost/platform';
 import type {EngineSpec, FleetConfig} from '@jasminepost/serving';
 
 /** @internal */
 export class ConfigHolder {
   private config: FleetConfig | undefined;
+  private text = '';
+  /** Newest era of the store in which the configuration in force was read. */
+  private era = 0;
 
   /**
    * @param onApplied - Called with each configuration that comes into force.
@@ -24,8 +27,11 @@
     return this.config !== undefined;
   }
 
-  /** Takes in a document; one that is malformed or not newer changes nothing. */
-  take(text: string, revision: number): void {
+  /**
+   * Takes in a document; one that is malformed or not newer changes nothing. A store that came back
+   * from a copy may give a version out again, with another content.
+   */
+  take(text: string, {era, revision}: StorePoint): void {
     const decoded = decodeConfig(text);
     if (!decoded.ok) {
       const {error} = decoded;
@@ -33,11 +39,15 @@
       return;
     }
     const config = decoded.value;
-    if (this.config !== undefined && config.version <= this.config.version) return;
+    const {version} = config;
+    const isAnew = version === this.version && era > this.era && text !== this.text;
+    if (this.config !== undefined && version <= this.version && !isAnew) return;
     this.config = config;
+    this.text = text;
+    this.era = era;
     this.onApplied(config);
-    const {version, routes} = config;
-    this.log.info('configuration in force', {version, revision, routes: routes.length});
+    const {length} = config.routes;
+    this.log.info('configuration in force', {version, era, revision, routes: length});
   }
 
   /** Undefined for a plain or unknown service. */
--- a/apps/gateway/src/lib/crash_share.ts
+++ b/apps/gateway/src/lib/crash_share.ts
@@ -56,8 +56,9 @@
     this.ctx.announce(message);
   }
 
-  /** Writes all that is known once more, because the store may have lost it. */
-  renew(): void {
+  /** Takes in that the store came back from an older copy: what is known is written once more. */
+  onNewEra(): void {
+    this.version = 0;
     if (this.ctx.list().requests.length > 0) this.newsMs ??= this.ctx.clock.monotonicMs();
   }
 
--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -10,8 +10,9 @@
   type StoreChange,
   type StoreChanges,
   type StoreClient,
+  type StorePoint,
 } from '@jasminepost/platform';
-import {RETURN_GRACE_MS} from './replica_table.ts';
+import {RETURN_GRACE_MS, type SnapshotKind} from './replica_table.ts';
 
 /** A watch that the store lost is found after this and the client's grace. */
 const WATCH_MS = 1500;
@@ -32,13 +33,15 @@
 const GATHER_MS_PER_GATEWAY = 50;
 const MIN_GATHER_MS = 250;
 const MAX_GATHER_MS = 900;
+/** What others than the system wrote is written again this long after a return from a copy. */
+const COPY_GRACE_MS = 4000;
 const RETRY_BASE_MS = 150;
 const RETRY_CAP_MS = 400;
 
 /** @internal */
 export interface FleetFeedEvents {
-  onConfig(text: string, revision: number): void;
-  onReplicaSnapshot(changes: readonly StoreChange[], afterOutage: boolean): void;
+  onConfig(text: string, point: StorePoint): void;
+  onReplicaSnapshot(changes: readonly StoreChange[], kind: SnapshotKind): void;
   /** @returns True when the change matters to gateways that hear from the replica's steward. */
   onReplicaChange(change: StoreChange, afterOutage: boolean): boolean;
   /** Any other key, such as the planner's holder. */
@@ -57,6 +60,10 @@
   private readonly abort = new AbortController();
   private failures = 0;
   private revision = -1;
+  /** Era of the revision. */
+  private era = 0;
+  /** Keys other than replicas' and the configuration's, to tell when one is gone. */
+  private others = new Set<string>();
   private connected = false;
   private everConnected = false;
   private settledMs = Number.NEGATIVE_INFINITY;
@@ -95,9 +102,12 @@
   }
 
   /** Takes in what the planner's gateway has read, if nothing is missing in between. */
-  takeRelayed({since, revision, settling, gateways, changes}: StoreChangesMessage): void {
+  takeRelayed(message: StoreChangesMessage): void {
+    const {era, since, revision, settling, gateways, changes} = message;
     this.countedGateways = gateways;
-    if (this.revision < 0 || since > this.revision || this.events.isRelay()) return;
+    if (era > this.era) this.revision = -1;
+    if (era !== this.era || this.revision < 0 || since > this.revision || this.events.isRelay())
+      return;
     this.relayedMs = performance.now();
     this.relayedSettling = settling;
     this.takeChanges(
@@ -106,6 +116,11 @@
     );
   }
 
+  /** Takes in that the store came back from an older copy: everything is read anew. */
+  onNewEra(): void {
+    this.revision = -1;
+  }
+
   private async run(): Promise<void> {
     while (!this.abort.signal.aborted) {
       try {
@@ -122,18 +137,26 @@
   }
 
   private async readAll(): Promise<void> {
-    const {changes, revision} = this.everConnected
+    const {changes, revision, era} = this.everConnected
       ? await this.store.range('')
       : await this.readFirst();
+    const isCopy = this.everConnected && era !== this.era;
     this.onAnswer();
     this.revision = revision;
+    this.era = era;
+    if (isCopy) this.settledMs = performance.now() + COPY_GRACE_MS;
     this.events.onReplicaSnapshot(
       changes.filter(change => change.key.startsWith(REPLICA_PREFIX)),
-      this.isSettling(),
+      isCopy ? 'copy' : this.isSettling() ? 'after_outage' : 'current',
     );
+    const gone = this.others;
+    this.others = new Set();
     for (const change of changes) {
-      if (!change.key.startsWith(REPLICA_PREFIX)) this.deliver(change);
+      if (change.key.startsWith(REPLICA_PREFIX)) continue;
+      gone.delete(change.key);
+      this.deliver(change);
     }
+    for (const key of gone) this.events.onOther({key, revision, value: undefined});
   }
 
   private async readFirst(): Promise<StoreChanges> {
@@ -155,9 +178,12 @@
     // After a failure a call that is answered at once tells that the store is back.
     const longestMs = this.events.isRelay() ? RELAY_WATCH_MS : WATCH_MS;
     const waitMs = this.connected ? longestMs : 0;
-    const found = await this.store.watch('', this.revision, waitMs, signal);
+    const {era, revision} = this;
+    const found = await this.store.watch('', {era, revision}, waitMs, signal);
     if (signal.aborted) return;
     this.onAnswer();
+    // Another call has shown meanwhile that everything must be read anew.
+    if (this.revision < 0) return;
     if (found === undefined) {
       this.log.warn('store history gone, reading all', {revision: this.revision});
       this.revision = -1;
@@ -167,6 +193,7 @@
     const changes = this.takeChanges(found.changes, found.revision);
     this.events.relay({
       type: 'store_changes',
+      era,
       since,
       revision: this.revision,
       settling: this.isSettling(),
@@ -191,8 +218,14 @@
     if (change.key.startsWith(REPLICA_PREFIX)) {
       return this.events.onReplicaChange(change, this.isSettling());
     }
-    if (change.key !== CONFIG_KEY) this.events.onOther(change);
-    else if (change.value !== undefined) this.events.onConfig(change.value, change.revision);
+    if (change.key === CONFIG_KEY) {
+      const {revision} = change;
+      if (change.value !== undefined) this.events.onConfig(change.value, {era: this.era, revision});
+      return true;
+    }
+    if (change.value === undefined) this.others.delete(change.key);
+    else this.others.add(change.key);
+    this.events.onOther(change);
     return true;
   }
 
--- a/apps/gateway/src/lib/planner_desk.ts
+++ b/apps/gateway/src/lib/planner_desk.ts
@@ -130,7 +130,8 @@
     this.heldSinceMs = nowMs;
     this.pending.clear();
     this.claimedMs.clear();
-    if (term > 1) this.ledger.onTerm(term, nowMs + PLACEMENT_VALID_MS + PLACEMENT_TRANSIT_MS);
+    if (this.ctx.lease.hasPredecessor)
+      this.ledger.onTerm(term, nowMs + PLACEMENT_VALID_MS + PLACEMENT_TRANSIT_MS);
   }
 
   private planService(
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -100,6 +100,11 @@
     await this.mesh.listen(this.ctx.address);
   }
 
+  /** Takes in that the store came back from an older copy: nobody holds the role. */
+  onNewEra(): void {
+    this.lease.onNewEra();
+  }
+
   /** Takes in a change in the store that may tell who holds the role. */
   takeChange(change: StoreChange): void {
     if (change.key !== HOLDER_KEY) return;
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -6,11 +6,19 @@
 
 /** Entries that lapsed in an outage of the store are back this long after its return. @internal */
 export const RETURN_GRACE_MS = 2000;
-/** Starts of replicas that are remembered as leaving. */
+/** Starts of replicas that are remembered as leaving or gone. */
 const MAX_LEFT = 10_000;
 /** Longest time that a replica which has left keeps its connections for requests in progress. */
 const LINGER_MS = 30_000;
 
+/**
+ * What a whole read of the entries may lack or hold too much of. `after_outage`: entries that lapsed
+ * come back. `copy`: those that are gone since the copy are listed, those that are new are not.
+ *
+ * @internal
+ */
+export type SnapshotKind = 'current' | 'after_outage' | 'copy';
+
 /** @internal */
 export interface ReplicaTableEvents {
   onAdded(replica: Replica): void;
@@ -29,6 +37,8 @@
   private readonly missing = new Set<string>();
   /** Starts of replicas that have said that they leave, the newest last. */
   private readonly left = new Set<string>();
+  /** Starts of replicas whose entries were removed, until they are listed again. */
+  private readonly gone = new Set<string>();
   private graceTimer: NodeJS.Timeout | undefined;
   private services: ReadonlyMap<string, Service> = new Map();
   /** Usable holders by `service/model`; built anew after a change. */
@@ -45,14 +55,17 @@
     this.services = services;
   }
 
-  /** Takes in a whole read of the entries; `afterOutage` gives missing ones time to come back. */
-  applySnapshot(changes: readonly StoreChange[], afterOutage: boolean): void {
+  /** Takes in a whole read of the entries. */
+  applySnapshot(changes: readonly StoreChange[], kind: SnapshotKind): void {
+    const afterOutage = kind !== 'current';
     const present = new Set(changes.map(change => change.key));
     for (const replica of [...this.replicas.values()]) {
       const {key} = replica.entry;
       if (!present.has(key)) this.remove(key, afterOutage);
     }
-    for (const change of changes) this.applyChange(change, afterOutage);
+    for (const change of changes) {
+      if (kind !== 'copy' || !this.isOutdated(change)) this.applyChange(change, afterOutage);
+    }
     this.wasRead = true;
   }
 
@@ -131,6 +144,7 @@
     const maxConnections = this.services.get(entry.service)?.maxConnections ?? 64;
     const channel = new ReplicaChannel(entry.address, maxConnections);
     const replica = new Replica(entry, channel, () => (this.holdersByModel = undefined));
+    this.gone.delete(incarnationOf(entry));
     if (this.left.has(incarnationOf(entry))) {
       replica.note({kind: 'said_leaving'}, this.clock.monotonicMs());
     }
@@ -196,15 +210,25 @@
     for (const key of missing) this.remove(key, false);
   }
 
-  private keepLeft(entry: ReplicaEntry): void {
-    this.left.add(incarnationOf(entry));
-    if (this.left.size > MAX_LEFT) this.left.delete(this.left.values().next().value!);
+  /** True when an entry of an older copy says less than what is known of its replica since. */
+  private isOutdated({key, value}: StoreChange): boolean {
+    const decoded = value === undefined ? undefined : decodeReplicaEntry(key, value);
+    if (decoded?.ok !== true) return false;
+    const entry = decoded.value;
+    const known = this.replicas.get(entry.id);
+    const isOutdated =
+      known === undefined
+        ? this.gone.has(incarnationOf(entry))
+        : known.entry.bornMs > entry.bornMs || (known.entry.leaving && !entry.leaving);
+    if (isOutdated) this.log.info('replica entry of a copy passed over', {replica: entry.id});
+    return isOutdated;
   }
 
   private drop(replica: Replica, reason: string): void {
     this.replicas.delete(replica.id);
     this.holdersByModel = undefined;
-    if (replica.isLeaving) this.keepLeft(replica.entry);
+    if (replica.isLeaving) keep(this.left, incarnationOf(replica.entry));
+    keep(this.gone, incarnationOf(replica.entry));
     this.log.info('replica gone', {replica: replica.id, reason, inFlight: replica.inFlight});
     const untilMs = this.clock.monotonicMs() + LINGER_MS;
     const close = () => {
@@ -218,6 +242,12 @@
   }
 }
 
+/** Adds to a set of bounded size, the oldest of which is dropped. */
+function keep(set: Set<string>, incarnation: string): void {
+  set.add(incarnation);
+  if (set.size > MAX_LEFT) set.delete(set.values().next().value!);
+}
+
 function incarnationOf({id, bornMs}: ReplicaEntry): string {
   return `${id}/${bornMs}`;
 }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -45,7 +45,12 @@
   const clock = new SystemClock();
   const log = createLogger('gateway', own.id, settings.logLevel);
   const metrics = createGatewayMetrics(() => line.length);
-  const store = new StoreClient(own.store, metrics.storeCalls);
+  const store = new StoreClient(own.store, metrics.storeCalls, (era, before) => {
+    log.warn('store came back from a copy', {era, before, plans: planner.isRelay});
+    feed.onNewEra();
+    planner.onNewEra();
+    share.onNewEra();
+  });
   const guard = new HelloGuard(settings.meshKey);
   const incarnation = Math.floor(clock.wallMs());
   const self: MemberInfo = {id: own.id, incarnation, role: 'gateway', zone: own.zone};
@@ -159,8 +164,8 @@
     onStoreChanges: message => feed.takeRelayed(message),
   });
   const feed: FleetFeed = new FleetFeed(store, log, {
-    onConfig: (text, revision) => config.take(text, revision),
-    onReplicaSnapshot: (changes, afterOutage) => table.applySnapshot(changes, afterOutage),
+    onConfig: (text, point) => config.take(text, point),
+    onReplicaSnapshot: (changes, kind) => table.applySnapshot(changes, kind),
     onReplicaChange: (change, afterOutage) => table.applyChange(change, afterOutage),
     onOther: change => {
       planner.takeChange(change);
--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -51,6 +51,7 @@
   const store = new StoreClient(
     own.store,
     registry.counter<StoreCall>('store_calls', 'Calls to the platform store', 'call'),
+    (era, before) => log.warn('store came back from a copy', {era, before}),
   );
   const control = new EngineControl(settings.replica, CONTROL_TIMEOUT_MS);
   const fence = new FenceCounter(store, own.id);
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,7 @@
       | seed |
       | 1    |
       | 2    |
+      | 10008 |
 
   # SIGHUP reached a gateway before its handler was set, and ended it.
   Scenario Outline: seed <seed>, which a signal at the start broke
--- /dev/null
+++ b/features/steps/store_era_steps.ts
@@ -0,0 +1,166 @@
+/** Steps about a store that comes back from a copy some seconds old. */
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
+import type {StoreCopy} from '../../stand_ins/users_platform/metadata_store.ts';
+import {until} from '../support/fleet_process.ts';
+import type {UsersFleet} from '../support/users_fleet.ts';
+import {of, replicas} from '../support/users_notes.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const SETTLE_MS = 1200;
+const RESTARTED_MS = 3000;
+const STORE_AWAY_MS = 200;
+const SERVED_EVERY_MS = 100;
+const SERVED_FOR_MS = 4000;
+
+const copies = new WeakMap<UsersFleet, StoreCopy>();
+const statuses = new WeakMap<UsersFleet, number[]>();
+
+/** Comes back from the copy after a moment away. */
+async function comeBack(fleet: UsersFleet): Promise<void> {
+  fleet.store.mode = 'unavailable';
+  await sleep(STORE_AWAY_MS);
+  fleet.store.comeBackFrom(copies.get(fleet)!);
+  fleet.store.mode = 'up';
+}
+
+function planners(fleet: UsersFleet): number[] {
+  const terms = fleet.gateways.flatMap(({process}) =>
+    [...process.log.join('').matchAll(/"role acquired"[^}]*"term":(\d+)/g)].map(m => Number(m[1])),
+  );
+  return terms;
+}
+
+When('the store is copied', function (this: FleetWorld) {
+  const {fleet} = of(this);
+  copies.set(fleet, fleet.store.copy());
+});
+
+When('a configuration adds the route {string}', async function (this: FleetWorld, name: string) {
+  const {fleet} = of(this);
+  fleet.configure({extraRoute: name});
+  await sleep(SETTLE_MS);
+});
+
+When(
+  "the store comes back from the copy, and the operator's writes follow {int} ms later",
+  {timeout: 20_000},
+  async function (this: FleetWorld, laterMs: number) {
+    const {fleet} = of(this);
+    const config = fleet.store.read('op/config')!;
+    await comeBack(fleet);
+    for (const replica of fleet.services) fleet.register(replica);
+    setTimeout(() => fleet.store.put('op/config', config), laterMs);
+    const found: number[] = [];
+    for (let elapsed = 0; elapsed < SERVED_FOR_MS; elapsed += SERVED_EVERY_MS) {
+      for (const gateway of [0, 1]) {
+        found.push((await fleet.call({path: '/added/1', method: 'GET', gateway})).status);
+      }
+      await sleep(SERVED_EVERY_MS);
+    }
+    statuses.set(fleet, found);
+  },
+);
+
+Then('the route "added" was served all the while', function (this: FleetWorld) {
+  const found = statuses.get(of(this).fleet)!;
+  assert.deepEqual(
+    found,
+    found.map(() => 200),
+  );
+});
+
+Then(
+  'a configuration of the same number that adds the route {string} is in force within {int} ms',
+  async function (this: FleetWorld, extraRoute: string, withinMs: number) {
+    const {fleet} = of(this);
+    fleet.repeatVersion();
+    copies.set(fleet, fleet.store.copy());
+    await comeBack(fleet);
+    fleet.configure({extraRoute});
+    for (const gateway of [0, 1]) {
+      await until(`route ${extraRoute} at ${gateway}`, withinMs, async () => {
+        const {status} = await fleet.call({path: `/${extraRoute}/1`, method: 'GET', gateway});
+        return status === 200 ? true : undefined;
+      });
+    }
+  },
+);
+
+When("the replicas' entries change {int} times", async function (this: FleetWorld, times: number) {
+  const {fleet} = of(this);
+  for (let i = 0; i < times; i++) {
+    for (const replica of fleet.services) fleet.register(replica);
+  }
+  await sleep(SETTLE_MS);
+});
+
+When(
+  /^the store comes back from the copy, and the (replicas'|second replica's) writes follow (\d+) ms later$/,
+  async function (this: FleetWorld, whose: string, laterMs: string) {
+    const {fleet} = of(this);
+    await comeBack(fleet);
+    await sleep(Number(laterMs));
+    const live = whose === "replicas'" ? fleet.services : fleet.services.slice(1);
+    for (const replica of live) fleet.register(replica);
+  },
+);
+
+When(
+  'a caller sends {int} orders to each gateway',
+  async function (this: FleetWorld, count: number) {
+    const {fleet, answers} = of(this);
+    for (let i = 0; i < count; i++) {
+      for (const gateway of fleet.gateways.keys()) {
+        answers.push(await fleet.call({path: '/order/7', gateway}));
+      }
+      await sleep(SERVED_EVERY_MS);
+    }
+  },
+);
+
+When("the planner's gateway is killed and starts again", async function (this: FleetWorld) {
+  const {fleet} = of(this);
+  const {holder} = JSON.parse(fleet.store.read('planner/holder') ?? '{}') as {holder: string};
+  const index = fleet.gateways.findIndex(({ip}) => holder.startsWith(`${ip}:`));
+  await fleet.gateways[index].process.kill();
+  fleet.restartGateway(index);
+  await sleep(RESTARTED_MS);
+});
+
+When('the first steward is killed and starts again', async function (this: FleetWorld) {
+  const {fleet} = of(this);
+  await fleet.stewards[0].kill();
+  fleet.restartSteward(0);
+  await sleep(RESTARTED_MS);
+});
+
+When(
+  "the store comes back from the copy {int} times within {int} ms, and all others' writes follow",
+  async function (this: FleetWorld, times: number, withinMs: number) {
+    const {fleet} = of(this);
+    const config = fleet.store.read('op/config')!;
+    for (let i = 0; i < times; i++) {
+      await comeBack(fleet);
+      await sleep(withinMs / times);
+    }
+    for (const replica of replicas(this)) {
+      const isListed = fleet.store.read(`servers/${replica.id}`) !== undefined;
+      if (isListed) fleet.register(replica);
+    }
+    fleet.store.put('op/config', config);
+    await sleep(SETTLE_MS);
+  },
+);
+
+Then('one gateway plans, with a term above all before', function (this: FleetWorld) {
+  const {fleet} = of(this);
+  const {term} = JSON.parse(fleet.store.read('planner/holder') ?? '{}') as {term: number};
+  const before = planners(fleet).filter(known => known !== term);
+  assert.ok(before.length > 0);
+  assert.ok(
+    before.every(known => known < term),
+    `${term} after ${before.join()}`,
+  );
+});
--- a/features/support/order_history.ts
+++ b/features/support/order_history.ts
@@ -212,6 +212,8 @@
 
 /** Holds the fence's one key. */
 class OneValueStore implements KeyValueStore {
+  readonly era = 0;
+  readonly hasComeBack = false;
   /** Time that the answer to a write takes; the write itself is done at once. */
   answerMs = 0;
   private entry: {key: string; value: string; version: number} | null = null;
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -121,6 +121,11 @@
     this.store.put(`servers/${replica.id}`, replica.entry(host, state, port));
   }
 
+  /** Gives the number of the last configuration out again. */
+  repeatVersion(): void {
+    this.version -= 1;
+  }
+
   /** Writes a configuration with the given changes to its routes. */
   configure(change: {readonly timeoutMs?: number; readonly extraRoute?: string}): void {
     const {timeoutMs = 3000} = change;
--- a/packages/key_value/src/index.ts
+++ b/packages/key_value/src/index.ts
@@ -21,6 +21,7 @@
 export {
   StoreConnection,
   type StoreCallLimits,
+  type StoreHttpHeaders,
   type StoreConnectionLimits,
   type StoreHttpReply,
 } from './lib/store_http.ts';
--- a/packages/key_value/src/lib/key_value_client.ts
+++ b/packages/key_value/src/lib/key_value_client.ts
@@ -36,6 +36,9 @@
  * @public
  */
 export class KeyValueClient implements KeyValueStore {
+  /** The service loses nothing that it has acknowledged. */
+  readonly era = 0;
+  readonly hasComeBack = false;
   private readonly connection: StoreConnection<KeyValueCall>;
 
   constructor(baseUrl: string, calls: CounterFamily<KeyValueCall>) {
--- a/packages/key_value/src/lib/key_value_store.ts
+++ b/packages/key_value/src/lib/key_value_store.ts
@@ -22,6 +22,13 @@
  * @public
  */
 export interface KeyValueStore {
+  /**
+   * Rises each time that the service comes back from an older copy: what was written since the copy
+   * is gone, versions and leases are given out again. 0 where the service does not say.
+   */
+  readonly era: number;
+  /** True once that has happened in this process's time. */
+  readonly hasComeBack: boolean;
   get(key: string): Promise<StoredEntry | null>;
   /** Writes a key if its version still is `expectVersion` (0: the key is absent). */
   write(key: string, value: string, expectVersion: number, leaseId?: string): Promise<WriteOutcome>;
--- a/packages/key_value/src/lib/store_http.ts
+++ b/packages/key_value/src/lib/store_http.ts
@@ -13,8 +13,12 @@
   readonly dispatcher: Dispatcher;
   readonly timeoutMs: number;
   readonly signal: AbortSignal | undefined;
+  readonly onHeaders: (headers: StoreHttpHeaders) => void;
 }
 
+/** Headers of an answer, by their names in lower case. @public */
+export type StoreHttpHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
 /** @public */
 export interface StoreHttpReply {
   readonly status: number;
@@ -47,6 +51,8 @@
     private readonly origin: string,
     private readonly calls: CounterFamily<Kind>,
     private readonly limits: StoreConnectionLimits,
+    /** Called with the headers of every answer, also of refusals, before it is taken in. */
+    private readonly onHeaders: (headers: StoreHttpHeaders) => void = () => undefined,
   ) {
     const {connections, connectMs} = limits;
     this.agent = new Agent({connections, pipelining: 1, connect: {timeout: connectMs}});
@@ -76,6 +82,7 @@
       dispatcher: own?.waits === true ? this.watchAgent : this.agent,
       timeoutMs: own?.timeoutMs ?? this.limits.callMs,
       signal: own?.signal,
+      onHeaders: this.onHeaders,
     });
   }
 
@@ -85,7 +92,7 @@
 }
 
 async function callStore(call: StoreHttpCall): Promise<StoreHttpReply> {
-  const {name, method, url, body, dispatcher, timeoutMs, signal} = call;
+  const {name, method, url, body, dispatcher, timeoutMs, signal, onHeaders} = call;
   const timeout = AbortSignal.timeout(timeoutMs);
   let reply: StoreHttpReply;
   try {
@@ -96,6 +103,7 @@
       body: body === undefined ? null : JSON.stringify(body),
       signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
     });
+    onHeaders(res.headers);
     reply = {status: res.statusCode, text: await res.body.text()};
   } catch (thrown) {
     const harmless = method === 'GET' || neverSent(thrown);
--- a/packages/key_value/src/lib/term_lease.ts
+++ b/packages/key_value/src/lib/term_lease.ts
@@ -4,6 +4,8 @@
 import type {KeyValueStore} from './key_value_store.ts';
 
 const START_SPREAD_MS = 150;
+/** Terms that are counted within one era of the service. */
+const TERMS_PER_ERA = 1_000_000;
 
 const holderSchema = z.object({holder: z.string(), term: z.number().int().positive()});
 
@@ -19,6 +21,9 @@
   /** Term held last, until the store has told that it is over; 0 when there is none. */
   private lastTerm = 0;
   private leaseId = '';
+  /** Era of the service in which the role was taken. */
+  private era = 0;
+  private isSuccessor = false;
   private heldUntilMs = 0;
   private readonly task = new RepeatingTask(() => this.step());
 
@@ -37,7 +42,12 @@
 
   /** Current term while the role is held, otherwise 0. */
   heldTerm(): number {
-    return this.clock.monotonicMs() < this.heldUntilMs ? this.term : 0;
+    return this.isOfThisEra && this.clock.monotonicMs() < this.heldUntilMs ? this.term : 0;
+  }
+
+  /** False while no other process can have held the role before. */
+  get hasPredecessor(): boolean {
+    return this.isSuccessor;
   }
 
   /**
@@ -46,7 +56,7 @@
    */
   actingTerm(): number {
     const held = this.heldTerm();
-    return held > 0 ? held : this.lastTerm;
+    return held > 0 || !this.isOfThisEra ? held : this.lastTerm;
   }
 
   start(): void {
@@ -58,6 +68,12 @@
     if (this.heldTerm() === 0) this.task.wake();
   }
 
+  /** Takes in that the service came back from an older copy: the role is over. */
+  onNewEra(): void {
+    this.release();
+    this.task.wake();
+  }
+
   dispose(): void {
     this.task.dispose();
     this.release();
@@ -92,7 +108,7 @@
   private async renew(): Promise<void> {
     const sentMs = this.clock.monotonicMs();
     const alive = await this.kv.renewLease(this.leaseId);
-    if (alive) this.heldUntilMs = sentMs + this.ttlMs;
+    if (alive && this.isOfThisEra) this.heldUntilMs = sentMs + this.ttlMs;
     else this.release();
   }
 
@@ -104,12 +120,15 @@
       return;
     }
     this.lastTerm = 0;
+    const {era} = this.kv;
     const sentMs = this.clock.monotonicMs();
     const leaseId = await this.kv.createLease(this.ttlMs);
     const term = await this.nextTerm();
     if (term === 0) return;
     const outcome = await this.kv.write(`${this.key}/holder`, this.recordOf(term), 0, leaseId);
-    if (outcome.kind === 'conflict') return;
+    // A lease of an earlier era may be another's by now.
+    if (outcome.kind === 'conflict' || this.kv.era !== era) return;
+    this.era = era;
     this.term = term;
     this.lastTerm = term;
     this.leaseId = leaseId;
@@ -117,6 +136,10 @@
     this.log.info('role acquired', {key: this.key, term});
   }
 
+  private get isOfThisEra(): boolean {
+    return this.era === this.kv.era;
+  }
+
   private recordOf(term: number): string {
     return JSON.stringify(holderSchema.parse({holder: this.holder, term}));
   }
@@ -124,7 +147,10 @@
   /** Reserves the next term; 0 when another process was quicker. */
   private async nextTerm(): Promise<number> {
     const entry = await this.kv.get(`${this.key}/term`);
-    const term = (entry === null ? 0 : Number(entry.value)) + 1;
+    const stored = entry === null ? 0 : Number(entry.value);
+    this.isSuccessor = entry !== null || this.kv.hasComeBack;
+    // A service that came back from a copy has forgotten terms; the era stands for them.
+    const term = Math.max(stored, this.kv.era * TERMS_PER_ERA) + 1;
     const outcome = await this.kv.write(`${this.key}/term`, String(term), entry?.version ?? 0);
     return outcome.kind === 'written' ? term : 0;
   }
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -219,6 +219,8 @@
 /** What the planner's gateway has read from the platform's store, for those that don't ask it. */
 const storeChanges = z.object({
   type: z.literal('store_changes'),
+  /** Era of the store; revisions are compared within one only. */
+  era: count,
   /** Revision that the changes follow on. */
   since: count,
   revision: count,
--- a/soak/soak_checks.ts
+++ b/soak/soak_checks.ts
@@ -8,10 +8,20 @@
 const MAX_RUNS = 2;
 const EVENT_IDS = '1,2,3,4';
 const MAX_MODELS = 2;
+/** Requests that may reach a replica from one gateway while it wants none. */
+const MAX_UNWANTED = 2;
 const MAX_ADAPTERS = 2;
 
-/** Every broken promise, one line each. */
-export function findBroken(fleet: UsersFleet, calls: readonly SoakCall[]): string[] {
+/**
+ * Every broken promise, one line each.
+ *
+ * @param starts - Gateways that were started again or stood still.
+ */
+export function findBroken(
+  fleet: UsersFleet,
+  calls: readonly SoakCall[],
+  starts: number,
+): string[] {
   const runs = new Map<string, SeenRequest[]>();
   for (const run of [...fleet.services, ...fleet.engines].flatMap(replica => replica.runs)) {
     runs.set(run.id, [...(runs.get(run.id) ?? []), run]);
@@ -24,6 +34,11 @@
     else broken.push(...brokenRuns(call, seen));
   }
   for (const call of calls) broken.push(...brokenAnswer(call, runs.get(call.id) ?? []));
+  // A gateway that has started, or was never answered, hears it with its own first request.
+  const mostUnwanted = MAX_UNWANTED * (fleet.gateways.length + starts);
+  for (const {id, mostUnwanted: unwanted} of [...fleet.services, ...fleet.engines]) {
+    if (unwanted > mostUnwanted) broken.push(`${id}: ${unwanted} requests that it did not want`);
+  }
   for (const engine of fleet.engines) {
     const fences = engine.orders.map(order => order.fencingToken);
     if (fences.some((fence, i) => i > 0 && fence <= fences[i - 1])) {
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -17,9 +17,12 @@
   | 'reset replica link'
   | 'store unavailable'
   | 'store forgets history'
+  | 'store comes back from a copy'
   | 'replica misbehaves'
   | 'engine restarts'
   | 'replica drains'
+  | 'replica says it leaves'
+  | 'replica asks for a pause'
   | 'configuration changes';
 
 export interface Fault {
@@ -47,6 +50,13 @@
   'replica drains',
   'configuration changes',
 ];
+/** Kinds that came later; seeds below this draw what they drew before. */
+const LATER_KINDS: readonly FaultKind[] = [
+  'store comes back from a copy',
+  'replica says it leaves',
+  'replica asks for a pause',
+];
+const LATER_FROM_SEED = 10_000;
 const MISBEHAVIOURS: readonly ReplicaFault[] = [
   'sheds',
   'sheds without saying so',
@@ -64,14 +74,28 @@
 const MIN_MS = 200;
 const MEAN_MS = 900;
 const MAX_MS = 2500;
+/** Time away before the store comes back, and until others have written again. */
+const STORE_AWAY_MS = 150;
+const WRITTEN_AGAIN_MS = 400;
+/** A replica that leaves ends after this. */
+const LEAVES_FOR_MS = 3000;
 /** Time after which the platform starts an ended process again. */
 const RESTART_MS = 300;
 
+/** Kinds that a seed draws from. */
+export function kindsOf(seed: number): readonly FaultKind[] {
+  return seed < LATER_FROM_SEED ? KINDS : [...KINDS, ...LATER_KINDS];
+}
+
 /** Faults that begin within `durationMs`, in the order of their beginnings. */
-export function drawFaults(random: () => number, durationMs: number): Fault[] {
+export function drawFaults(
+  random: () => number,
+  durationMs: number,
+  kinds: readonly FaultKind[],
+): Fault[] {
   const count = LEAST_FAULTS + Math.floor(random() * MORE_FAULTS);
   const faults = Array.from({length: count}, () => ({
-    kind: KINDS[Math.floor(random() * KINDS.length)],
+    kind: kinds[Math.floor(random() * kinds.length)],
     atMs: random() * durationMs,
     forMs: Math.min(MAX_MS, MIN_MS - Math.log(1 - random()) * MEAN_MS),
     pick: random(),
@@ -117,12 +141,18 @@
     case 'store forgets history':
       fleet.store.compact();
       return;
+    case 'store comes back from a copy':
+      return comeBackFromCopy(fleet, forMs);
     case 'replica misbehaves':
       return misbehave(choose([...fleet.services, ...fleet.engines], pick), pick, forMs);
     case 'engine restarts':
-      return restartEngine(fleet, choose(fleet.engines, pick));
+      return restartReplica(fleet, choose(fleet.engines, pick));
     case 'replica drains':
       return drain(fleet, choose([...fleet.services, ...fleet.engines], pick), forMs);
+    case 'replica says it leaves':
+      return leave(fleet, choose([...fleet.services, ...fleet.engines], pick));
+    case 'replica asks for a pause':
+      return pauseReplica(choose([...fleet.services, ...fleet.engines], pick), forMs);
     case 'configuration changes':
       fleet.configure({timeoutMs: 2500 + Math.floor(pick * 1000)});
   }
@@ -166,7 +196,7 @@
   replica.fault = 'none';
 }
 
-async function restartEngine(fleet: UsersFleet, engine: UsersReplica): Promise<void> {
+async function restartReplica(fleet: UsersFleet, engine: UsersReplica): Promise<void> {
   const before = engine.id;
   engine.restart(`${before}x`);
   await sleep(RESTART_MS);
@@ -179,3 +209,37 @@
   await sleep(forMs);
   fleet.register(replica);
 }
+
+/** The copy is as old as the fault is long; others than the system write again soon after it. */
+async function comeBackFromCopy(fleet: UsersFleet, forMs: number): Promise<void> {
+  const copy = fleet.store.copy();
+  await sleep(forMs);
+  const {mode} = fleet.store;
+  fleet.store.mode = 'unavailable';
+  await sleep(STORE_AWAY_MS);
+  const config = fleet.store.read('op/config')!;
+  const listed = [...fleet.services, ...fleet.engines].filter(
+    ({id}) => fleet.store.read(`servers/${id}`) !== undefined,
+  );
+  fleet.store.comeBackFrom(copy);
+  fleet.store.mode = mode;
+  await sleep(WRITTEN_AGAIN_MS);
+  fleet.store.put('op/config', config);
+  for (const replica of listed) fleet.register(replica);
+}
+
+async function leave(fleet: UsersFleet, replica: UsersReplica): Promise<void> {
+  replica.toldMs = undefined;
+  replica.saysLeaving = true;
+  await sleep(LEAVES_FOR_MS);
+  replica.endLeaving();
+  await restartReplica(fleet, replica);
+}
+
+async function pauseReplica(replica: UsersReplica, forMs: number): Promise<void> {
+  replica.toldMs = undefined;
+  replica.pause = (forMs / 1000).toFixed(3);
+  replica.fault = 'sheds';
+  await sleep(forMs);
+  replica.endPause();
+}
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -3,7 +3,7 @@
 import {SeededRandom} from '../bench/random.ts';
 import {UsersFleet} from '../features/support/users_fleet.ts';
 import {findBroken, overloadedEngines} from './soak_checks.ts';
-import {drawFaults, play, type Fault} from './soak_faults.ts';
+import {drawFaults, kindsOf, play, type Fault, type FaultKind} from './soak_faults.ts';
 import {SoakLoad, type CallKind} from './soak_load.ts';
 
 export interface SoakReport {
@@ -16,6 +16,8 @@
   readonly logs: string;
 }
 
+/** After these a gateway knows nothing, or old things, of replicas. */
+const GATEWAY_FAULTS: readonly FaultKind[] = ['pause gateway', 'kill gateway', 'stop gateway'];
 const SETTLE_MS = 2500;
 const LOAD_MS = 6000;
 /** Time after the last fault in which everything is served again. */
@@ -37,7 +39,7 @@
   try {
     await fleet.start(2, 3, 2, true);
     await sleep(SETTLE_MS);
-    const faults = drawFaults(random, LOAD_MS);
+    const faults = drawFaults(random, LOAD_MS, kindsOf(seed));
     const load = new SoakLoad(fleet, random, `s${seed}`);
     const played = faults.map(async fault => {
       await sleep(fault.atMs);
@@ -53,7 +55,8 @@
       }
     }
     await load.settle();
-    const broken = [...overloaded, ...findBroken(fleet, load.calls)];
+    const starts = faults.filter(({kind}) => GATEWAY_FAULTS.includes(kind)).length;
+    const broken = [...overloaded, ...findBroken(fleet, load.calls, starts)];
     const back = recovery.filter(call => call.answer?.status === 200 && !call.answer.cut);
     if (back.length < RECOVERED_SHARE * recovery.length) {
       const rest = recovery.filter(call => !back.includes(call));
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -41,6 +41,10 @@
 
 const EVENTS = 4;
 const ADAPTER_MS = 10;
+/** Requests may cross an answer that asks for a pause. */
+const PAUSE_SLACK_MS = 500;
+/** Bound of the settings on requests to a replica that leaves. */
+const DRAIN_MS = 2000;
 /** Rates of answers and reports that have no end. */
 const ANSWER_BYTES_PER_MS = 128 * 1024;
 const REPORT_BYTES_PER_MS = 1024 * 1024;
@@ -53,6 +57,8 @@
   pause: string | undefined;
   /** When each request arrived, also those that it refused. */
   readonly arrivalsMs: number[] = [];
+  /** Most requests that came in one pause or after one word of leaving. */
+  mostUnwanted = 0;
   /** When it first sent an answer that says that it leaves, or that asks for a pause. */
   toldMs: number | undefined;
   /** Requests that have run. */
@@ -125,6 +131,26 @@
     this.server.closeAllConnections();
   }
 
+  /** Ends a pause that it has asked for; notes requests that came within it. */
+  endPause(): void {
+    const {toldMs, pause} = this;
+    this.fault = 'none';
+    this.pause = undefined;
+    if (toldMs !== undefined)
+      this.noteUnwanted(toldMs + PAUSE_SLACK_MS, toldMs + Number(pause) * 1000);
+  }
+
+  /** Ends a life in which it said that it leaves; notes requests that came long after. */
+  endLeaving(): void {
+    if (this.toldMs !== undefined) this.noteUnwanted(this.toldMs + DRAIN_MS, performance.now());
+    this.saysLeaving = false;
+  }
+
+  private noteUnwanted(fromMs: number, toMs: number): void {
+    const {length} = this.arrivalsMs.filter(atMs => atMs > fromMs && atMs < toMs);
+    this.mostUnwanted = Math.max(this.mostUnwanted, length);
+  }
+
   /** Ends without a word to anyone; several copies of a request end it once. */
   private crash(life: number): void {
     if (life !== this.life) return;
