--- a/features/steps/store_era_steps.ts
+++ b/features/steps/store_era_steps.ts
@@ -1,8 +1,10 @@
 /** Steps about a store that comes back from a copy some seconds old. */
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
+import fc from 'fast-check';
 import {sleep} from '@jasminepost/core';
 import type {StoreCopy} from '../../stand_ins/users_platform/metadata_store.ts';
+import {eraSteps, fencesGrow} from '../support/era_history.ts';
 import {until} from '../support/fleet_process.ts';
 import type {UsersFleet} from '../support/users_fleet.ts';
 import {of, replicas} from '../support/users_notes.ts';
@@ -164,3 +166,10 @@
     `${term} after ${before.join()}`,
   );
 });
+
+Then(
+  'in {int} drawn series each order has a larger number than all before it',
+  async function (series: number) {
+    await fc.assert(fc.asyncProperty(eraSteps, fencesGrow), {numRuns: series, seed: 20});
+  },
+);
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -64,3 +64,6 @@
     And both gateways are killed and start again
     And a caller sends the order "crash" 3 times, to each gateway in turn, every 700 ms
     Then the request has ended at most 2 replicas
+
+  Scenario: any series of starts, copies and returns
+    Then in 500 drawn series each order has a larger number than all before it
