Ask callers of a held request back soon while its replicas may turn out to live

Two lost answers in a row hold a request that crashes nothing until its replicas have shown that they live, mostly within a second; its caller was told to come back after a minute. Seen in the code, not in a run.

--- a/apps/gateway/src/lib/crash_watch.ts
+++ b/apps/gateway/src/lib/crash_watch.ts
@@ -12,6 +12,8 @@
 const LOOK_INTERVAL_MS = 100;
 /** Most cuts are explained by then; the others are told to the other gateways. */
 const TELL_AFTER_MS = 300;
+/** A held request is told to come back after this while a replica may still turn out to live. */
+const OPEN_RETURN_MS = 800;
 const MAX_WATCHED = 5000;
 const FINGERPRINT_DIGITS = 24;
 
@@ -75,7 +77,10 @@
   /** Whether the request may be sent now. */
   decide(fingerprint: () => string): CrashDecision {
     if (this.record.isEmpty) return {kind: 'free'};
-    return this.record.decide(fingerprint(), this.ctx.clock.monotonicMs());
+    const id = fingerprint();
+    const decision = this.record.decide(id, this.ctx.clock.monotonicMs());
+    if (decision.kind !== 'hold' || !this.isOpenFor(id)) return decision;
+    return {kind: 'hold', retryAfterMs: Math.min(decision.retryAfterMs, OPEN_RETURN_MS)};
   }
 
   /** Takes the fleet's leave to try a suspected request. */
@@ -148,6 +153,13 @@
     clearInterval(this.timer);
   }
 
+  /** True while it may still turn out that a replica lives which seems to have ended. */
+  private isOpenFor(fingerprint: string): boolean {
+    return this.watched.some(
+      found => found.weight === 'presumed' && found.fingerprint === fingerprint,
+    );
+  }
+
   private watch(seen: Pick<Watched, 'fingerprint' | 'replica' | 'sentMs' | 'weight'>): void {
     const atMs = this.ctx.clock.monotonicMs();
     const watched = {...seen, atMs, told: false, soundMs: 0};
