--- a/apps/gateway/src/lib/crash_watch.ts
+++ b/apps/gateway/src/lib/crash_watch.ts
@@ -62,7 +62,12 @@
   soundMs: number;
 }
 
-/** @internal */
+/**
+ * Keeps the evidence of this gateway: each attempt that may have ended its replica is watched until
+ * it is known whether the replica lives. `CrashRecord` decides what the endings mean.
+ *
+ * @internal
+ */
 export class CrashWatch {
   private readonly record: CrashRecord;
   private watched: Watched[] = [];
