--- a/apps/gateway/src/lib/answer_notes.ts
+++ b/apps/gateway/src/lib/answer_notes.ts
@@ -6,13 +6,18 @@
 /** Gateways that were turned away together come back one after the other within this. */
 const PAUSE_SPREAD_MS = 200;
 
+/** True for the refusal of another replica that has the address now. @internal */
+export function isOfAnother({status, replicaId}: ReplicaHead, replica: Replica): boolean {
+  return status === 421 && replicaId !== '' && replicaId !== replica.id;
+}
+
 /** @internal */
 export function noteHead(ctx: GatewayContext, replica: Replica, head: ReplicaHead): void {
   const {clock, line, log} = ctx;
   const nowMs = clock.monotonicMs();
   if (head.load !== undefined) replica.onStatedLoad(head.load, nowMs);
-  // The address may belong to another replica by now, which speaks of itself.
-  if (head.status === 421 && head.replicaId !== '' && head.replicaId !== replica.id) return;
+  // Another replica speaks of itself.
+  if (isOfAnother(head, replica)) return;
   if (head.leaving && replica.note({kind: 'said_leaving'}, nowMs)) {
     log.info('replica leaves', {replica: replica.id, inFlight: replica.inFlight});
     line.wake();
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -19,7 +19,7 @@
 import {answerFault} from './answer_fault.ts';
 import {AnswerRelay, sendOwnAnswer} from './answer_relay.ts';
 import {Attempt} from './attempt.ts';
-import {noteHead} from './answer_notes.ts';
+import {isOfAnother, noteHead} from './answer_notes.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RepeatableRequest} from './crash_watch.ts';
 import type {LineMember} from './engine_line.ts';
@@ -166,7 +166,7 @@
       return;
     }
     const leftMs = Math.max(0, this.deadlineMs - this.ctx.clock.monotonicMs());
-    const header = Object.fromEntries([retryAfterHeader(Math.min(retryAfterMs, leftMs))]);
+    const header = retryAfterHeader(Math.min(retryAfterMs, leftMs));
     sendOwnAnswer(this.res, 503, reason, this.ctx.isDraining(), header);
     this.finish('refused', {reason, retryAfterMs: Math.round(retryAfterMs), ...inputs});
   }
@@ -213,9 +213,7 @@
     }
     if (head.status !== 421) replica.onAnswered(sentMs, nowMs);
     if (head.notRun) {
-      if (head.status === 421 && head.replicaId !== '' && head.replicaId !== replica.id) {
-        replica.displaced = true;
-      }
+      if (isOfAnother(head, replica)) replica.displaced = true;
       this.onAttemptFailed(
         {verdict: notRun('upstream_refused'), detail: `status ${head.status}`},
         false,
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -166,8 +166,7 @@
     reason: string,
     returnMs: number,
   ): void {
-    const [name, value] = retryAfterHeader(returnMs);
-    this.reject(req, res, 503, reason, {[name]: value});
+    this.reject(req, res, 503, reason, retryAfterHeader(returnMs));
   }
 
   private reject(
--- a/apps/gateway/src/lib/crash_gate.ts
+++ b/apps/gateway/src/lib/crash_gate.ts
@@ -28,8 +28,12 @@
     const decision = this.crashes.decide(this.id);
     if (decision.kind === 'trial' && !this.inTrial && this.looks < TRIAL_LOOKS) {
       this.looks += 1;
-      void this.seekTrial().then(granted => {
-        if (this.disposed) return;
+      void this.crashes.seekTrial(this.id()).then(granted => {
+        if (this.disposed) {
+          if (granted) this.crashes.endTrial(this.id());
+          return;
+        }
+        this.inTrial = granted;
         const again = () => this.pass(onFree, onHeld);
         if (granted) again();
         else this.timer = setTimeout(again, TRIAL_LOOK_MS);
@@ -76,12 +80,4 @@
     if (this.inTrial) this.crashes.endTrial(this.id());
     this.inTrial = false;
   }
-
-  private async seekTrial(): Promise<boolean> {
-    if (!this.crashes.beginTrial(this.id())) return false;
-    const granted = await this.crashes.takeTrial(this.id());
-    if (granted && !this.disposed) this.inTrial = true;
-    else this.crashes.endTrial(this.id());
-    return this.inTrial;
-  }
 }
--- a/apps/gateway/src/lib/crash_share.ts
+++ b/apps/gateway/src/lib/crash_share.ts
@@ -24,8 +24,8 @@
   readonly log: Logger;
   /** Id of this gateway. */
   readonly self: string;
-  /** Sends to the planner's gateway, which tells all; false when that certainly failed. */
-  announce(message: CrashNewsMessage): boolean;
+  /** Sends to the planner's gateway, which tells all. */
+  announce(message: CrashNewsMessage): void;
   /** True while the planner's gateway, or this one in its place, is heard of. */
   isPlannerHeard(): boolean;
   /** All that is known here. */
--- a/apps/gateway/src/lib/crash_watch.ts
+++ b/apps/gateway/src/lib/crash_watch.ts
@@ -1,7 +1,8 @@
 /** Finds requests that crash the replicas which run them, and keeps them from further replicas. */
 import {sha256Hex, type Clock, type CounterFamily, type Logger} from '@jasminepost/core';
 import type {CrashNewsMessage} from '@jasminepost/mesh';
-import {CrashRecord, type CrashDecision} from '@jasminepost/policy';
+import {CrashRecord, type CrashDecision, type CrashEnding} from '@jasminepost/policy';
+import {incarnationOf} from '@jasminepost/serving';
 import type {CrashEvidence} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
 
@@ -56,7 +57,7 @@
   readonly replica: Replica;
   readonly sentMs: number;
   readonly atMs: number;
-  weight: Weight;
+  readonly weight: Weight;
   told: boolean;
   /** Time since then in which a lost replica would have left the list. */
   soundMs: number;
@@ -88,16 +89,13 @@
     return {kind: 'hold', retryAfterMs: Math.min(decision.retryAfterMs, OPEN_RETURN_MS)};
   }
 
-  /** Takes the fleet's leave to try a suspected request. */
-  takeTrial(fingerprint: string): Promise<boolean> {
-    return this.ctx.takeTrial(fingerprint);
-  }
-
-  /** Takes this gateway's one trial of a suspected request; false while another copy has it. */
-  beginTrial(fingerprint: string): boolean {
+  /** Takes leave for the one trial of a suspected request in the fleet. */
+  async seekTrial(fingerprint: string): Promise<boolean> {
     if (this.trials.has(fingerprint)) return false;
     this.trials.add(fingerprint);
-    return true;
+    const granted = await this.ctx.takeTrial(fingerprint);
+    if (!granted) this.endTrial(fingerprint);
+    return granted;
   }
 
   endTrial(fingerprint: string): void {
@@ -131,11 +129,7 @@
     const nowMs = this.ctx.clock.monotonicMs();
     const requests = this.record.list(nowMs).map(([fingerprint, endings]) => ({
       fingerprint,
-      endings: endings.map(({replica, sentMs, atMs}) => ({
-        replica,
-        sentAgoMs: Math.max(0, nowMs - sentMs),
-        agoMs: Math.max(0, nowMs - atMs),
-      })),
+      endings: endings.map(ending => asNews(ending, nowMs)),
       withdrawn: [],
       served: false,
     }));
@@ -177,7 +171,7 @@
   /** Counts an ending here; one that holds the request back is told at once. */
   private count(found: Watched): void {
     const {fingerprint, replica, sentMs, atMs} = found;
-    if (!this.add(fingerprint, incarnationOf(replica), sentMs, atMs)) return;
+    if (!this.add(fingerprint, incarnationOf(replica.entry), sentMs, atMs)) return;
     if (this.record.decide(fingerprint, atMs).kind === 'free') return;
     this.tellEnding(found);
     this.flush();
@@ -233,7 +227,7 @@
   private withdraw(found: Watched, outcome: 'alive' | 'listed'): void {
     if (found.weight === 'possible') return;
     const {fingerprint, replica} = found;
-    const incarnation = incarnationOf(replica);
+    const incarnation = incarnationOf(replica.entry);
     this.ctx.evidence.increment(outcome);
     this.record.withdraw(fingerprint, incarnation);
     if (!found.told) return;
@@ -245,13 +239,9 @@
     if (found.told) return;
     found.told = true;
     const {fingerprint, replica, sentMs, atMs} = found;
-    const nowMs = this.ctx.clock.monotonicMs();
-    const ending = {
-      replica: incarnationOf(replica),
-      sentAgoMs: Math.max(0, nowMs - sentMs),
-      agoMs: Math.max(0, nowMs - atMs),
-    };
-    this.tell({fingerprint, endings: [ending], withdrawn: [], served: false});
+    const ending = {replica: incarnationOf(replica.entry), sentMs, atMs};
+    const news = asNews(ending, this.ctx.clock.monotonicMs());
+    this.tell({fingerprint, endings: [news], withdrawn: [], served: false});
   }
 
   /** Puts news into the next message. */
@@ -276,6 +266,11 @@
   return digest.slice(0, FINGERPRINT_DIGITS);
 }
 
-function incarnationOf({entry}: Replica): string {
-  return `${entry.id}/${entry.bornMs}`;
+/** Gateways share no clock, so that they tell each other ages. */
+function asNews({replica, sentMs, atMs}: CrashEnding, nowMs: number): CrashNews['endings'][number] {
+  return {
+    replica,
+    sentAgoMs: Math.max(0, nowMs - sentMs),
+    agoMs: Math.max(0, nowMs - atMs),
+  };
 }
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -117,11 +117,7 @@
         return;
       }
     } else if (placing === 'paused') {
-      const waitMs = this.pauseMs(member, nowMs);
-      if (waitingState(member, nowMs + waitMs) === 'hopeless') {
-        member.refuse('replicas_paused', returnMs(waitMs), {waitMs: Math.round(waitMs)});
-        return;
-      }
+      if (this.refusePaused(member, nowMs)) return;
     } else if (placing !== 'adapter') {
       const waitMs = this.lineOf(member).pace.waitMs(aheadInRank, nowMs);
       if (!mayWait(member, waitMs, nowMs)) {
@@ -216,12 +212,7 @@
         this.turnAway(member, 'overloaded', nowMs);
         continue;
       }
-      const pauseMs = placing === 'paused' ? this.pauseMs(member, nowMs) : 0;
-      if (pauseMs > 0 && waitingState(member, nowMs + pauseMs) === 'hopeless') {
-        this.leave(member);
-        member.refuse('replicas_paused', returnMs(pauseMs), {waitMs: Math.round(pauseMs)});
-        continue;
-      }
+      if (placing === 'paused' && this.refusePaused(member, nowMs)) continue;
       this.members.set(member, placing);
       full.add(key);
       if (placing === 'full' && state === 'on_time') blocked.add(model);
@@ -346,10 +337,14 @@
     return line;
   }
 
-  /** Time until the first of the model's holders takes requests again. */
-  private pauseMs({service, generation}: LineMember, nowMs: number): number {
-    const holders = this.ctx.table.holders(service, generation.model);
-    return Math.min(...holders.map(replica => replica.pauseLeftMs(nowMs)));
+  /** Refuses a request that can't wait until the first of its model's holders takes any again. */
+  private refusePaused(member: LineMember, nowMs: number): boolean {
+    const holders = this.ctx.table.holders(member.service, member.generation.model);
+    const waitMs = Math.min(...holders.map(replica => replica.pauseLeftMs(nowMs)));
+    if (waitingState(member, nowMs + waitMs) !== 'hopeless') return false;
+    this.leave(member);
+    member.refuse('replicas_paused', returnMs(waitMs), {waitMs: Math.round(waitMs)});
+    return true;
   }
 
   /** Time in which some replica could have the model, from the nearest copy of its weights. */
--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -85,12 +85,12 @@
 
   /** True while what has changed in the store is known here within a watch's time. */
   get isSound(): boolean {
-    return (this.connected || this.isRelayed()) && !this.isSettling();
+    return (this.connected || this.isRelayed) && !this.isSettling();
   }
 
   /** True while the planner's gateway tells what it reads. */
-  get isPlannerHeard(): boolean {
-    return this.isRelayed();
+  get isRelayed(): boolean {
+    return !this.events.isRelay() && performance.now() - this.relayedMs < RELAY_SILENCE_MS;
   }
 
   start(): void {
@@ -125,7 +125,7 @@
     while (!this.abort.signal.aborted) {
       try {
         if (this.revision < 0) await this.readAll();
-        else if (this.isRelayed()) await sleep(RELAY_CHECK_MS, this.abort.signal);
+        else if (this.isRelayed) await sleep(RELAY_CHECK_MS, this.abort.signal);
         else await this.followOnce();
       } catch (thrown) {
         if (this.abort.signal.aborted) return;
@@ -210,10 +210,6 @@
     return fresh.filter(change => this.deliver(change));
   }
 
-  private isRelayed(): boolean {
-    return !this.events.isRelay() && performance.now() - this.relayedMs < RELAY_SILENCE_MS;
-  }
-
   private deliver(change: StoreChange): boolean {
     if (change.key.startsWith(REPLICA_PREFIX)) {
       return this.events.onReplicaChange(change, this.isSettling());
@@ -236,7 +232,7 @@
   }
 
   private isSettling(): boolean {
-    return performance.now() < this.settledMs || (this.isRelayed() && this.relayedSettling);
+    return performance.now() < this.settledMs || (this.isRelayed && this.relayedSettling);
   }
 
   private onAnswer(): void {
--- a/apps/gateway/src/lib/planner_desk.ts
+++ b/apps/gateway/src/lib/planner_desk.ts
@@ -130,8 +130,9 @@
     this.heldSinceMs = nowMs;
     this.pending.clear();
     this.claimedMs.clear();
-    if (this.ctx.lease.hasPredecessor)
+    if (term > 0 && this.ctx.lease.hasPredecessor) {
       this.ledger.onTerm(term, nowMs + PLACEMENT_VALID_MS + PLACEMENT_TRANSIT_MS);
+    }
   }
 
   private planService(
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -81,12 +81,11 @@
     return this.address !== undefined && this.isOwn(this.address);
   }
 
-  /** Tells the planner, which tells all gateways; false without a link to it. */
-  announce(message: CrashNewsMessage): boolean {
-    if (this.client?.link?.send(message) === true) return true;
+  /** Tells the planner, which tells all gateways. */
+  announce(message: CrashNewsMessage): void {
+    if (this.client?.link?.send(message) === true) return;
     const {length} = message.requests;
     this.log.warn('crash news not sent', {requests: length, reason: 'no link to a planner'});
-    return false;
   }
 
   dispose(): void {
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -134,11 +134,10 @@
     if (this.isRelay) this.mesh.broadcast(message);
   }
 
-  /** Tells the other gateways of requests that crash replicas, by way of the planner; false when that failed. */
-  announce(message: CrashNewsMessage): boolean {
-    if (!this.link.isOwnRole) return this.link.announce(message);
-    this.mesh.broadcast(message);
-    return true;
+  /** Tells the other gateways of requests that crash replicas, by way of the planner. */
+  announce(message: CrashNewsMessage): void {
+    if (this.link.isOwnRole) this.mesh.broadcast(message);
+    else this.link.announce(message);
   }
 
   dispose(): void {
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -1,7 +1,7 @@
 /** All replicas that the platform lists, and which of them hold which model. */
 import type {Clock, Logger} from '@jasminepost/core';
 import {decodeReplicaEntry, ReplicaChannel, type StoreChange} from '@jasminepost/platform';
-import type {ReplicaEntry, Service} from '@jasminepost/serving';
+import {incarnationOf, type ReplicaEntry, type Service} from '@jasminepost/serving';
 import {Replica} from './replica.ts';
 
 /** Entries that lapsed in an outage of the store are back this long after its return. @internal */
@@ -248,10 +248,6 @@
   if (set.size > MAX_LEFT) set.delete(set.values().next().value!);
 }
 
-function incarnationOf({id, bornMs}: ReplicaEntry): string {
-  return `${id}/${bornMs}`;
-}
-
 function sameInstance(a: ReplicaEntry, b: ReplicaEntry): boolean {
   return a.bornMs === b.bornMs && a.service === b.service && sameAddress(a, b);
 }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -94,7 +94,7 @@
     log,
     self: own.id,
     announce: message => planner.announce(message),
-    isPlannerHeard: () => planner.isRelay || feed.isPlannerHeard,
+    isPlannerHeard: () => planner.isRelay || feed.isRelayed,
     list: () => crashes.list(),
     take: message => crashes.take(message),
   });
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -175,9 +175,9 @@
   type: z.literal('engine_state'),
   /** False while the replica does not answer. */
   up: z.boolean(),
-  /** Start of the replica's incarnation, in milliseconds since the Unix epoch. */
   /** True when the replica says that it leaves. */
   leaving: z.boolean(),
+  /** Start of the replica's incarnation, in milliseconds since the Unix epoch. */
   bornMs: z.number(),
   models: z.array(z.object({name, adapters: z.array(name).max(4096)})).max(4096),
   /** Model that is being loaded or unloaded; empty when none is. */
--- a/packages/policy/src/lib/crash_record.ts
+++ b/packages/policy/src/lib/crash_record.ts
@@ -72,8 +72,7 @@
   /** Everything known, to tell a process that has just come. */
   list(nowMs: number): ReadonlyArray<readonly [string, readonly CrashEnding[]]> {
     return [...this.requests.keys()].flatMap(fingerprint => {
-      this.expire(fingerprint, nowMs);
-      const endings = this.endingsOf(fingerprint);
+      const endings = this.kept(fingerprint, nowMs);
       return endings.length === 0 ? [] : [[fingerprint, endings] as const];
     });
   }
@@ -87,8 +86,8 @@
    * if (record.decide(fingerprint, clock.monotonicMs()).kind === 'hold') refuse();
    */
   decide(fingerprint: string, nowMs: number): CrashDecision {
-    this.expire(fingerprint, nowMs);
-    const endings = this.endingsOf(fingerprint);
+    const endings = this.kept(fingerprint, nowMs);
+    if (endings.length === 0) return {kind: 'free'};
     const series = inSeries(endings);
     if (series >= MAX_IN_SERIES) {
       const untilMs = lastMs(endings) + this.holdMs(fingerprint, series);
@@ -105,11 +104,14 @@
     return holdMs * (1 + fnv1a32(`${this.self}/${fingerprint}`) / 2 ** 32);
   }
 
-  private expire(fingerprint: string, nowMs: number): void {
+  /** Endings of a request, unless the last of them is long past. */
+  private kept(fingerprint: string, nowMs: number): readonly CrashEnding[] {
     const endings = this.endingsOf(fingerprint);
-    if (endings.length === 0) return;
+    if (endings.length === 0) return endings;
     const keptMs = MEMORY_MS + 2 * this.holdMs(fingerprint, inSeries(endings));
-    if (nowMs - lastMs(endings) > keptMs) this.requests.delete(fingerprint);
+    if (nowMs - lastMs(endings) <= keptMs) return endings;
+    this.requests.delete(fingerprint);
+    return [];
   }
 }
 
--- a/packages/policy/src/lib/replica_standing.ts
+++ b/packages/policy/src/lib/replica_standing.ts
@@ -1,5 +1,6 @@
 /** Whether one process may send requests to a replica, from what the replica has answered. */
 import {exhaustive} from '@jasminepost/core';
+import {FAILURES_TO_OPEN, openTimeMs} from './circuit.ts';
 
 /** Failures in a row, and the times for which such a replica gets no work. @public */
 export type ReplicaStanding =
@@ -28,10 +29,6 @@
 /** `last_resort`: only where no other replica can take the request. @public */
 export type MayTake = 'yes' | 'last_resort' | 'no';
 
-const FAILURES_TO_TRIP = 5;
-const TRIP_BASE_MS = 1000;
-const TRIP_CAP_MS = 15_000;
-
 /** @public */
 export const NEW_STANDING: ReplicaStanding = {kind: 'open', failures: 0, trips: 0};
 
@@ -110,7 +107,7 @@
   switch (standing.kind) {
     case 'open': {
       const failures = standing.failures + 1;
-      if (failures < FAILURES_TO_TRIP) return {...standing, failures};
+      if (failures < FAILURES_TO_OPEN) return {...standing, failures};
       return trip(standing.trips, nowMs);
     }
     case 'tripped':
@@ -127,6 +124,5 @@
 }
 
 function trip(trips: number, nowMs: number): ReplicaStanding {
-  const untilMs = nowMs + Math.min(TRIP_CAP_MS, TRIP_BASE_MS * 2 ** trips);
-  return {kind: 'tripped', untilMs, trips: trips + 1};
+  return {kind: 'tripped', untilMs: nowMs + openTimeMs(trips), trips: trips + 1};
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -18,4 +18,5 @@
   ReplicaEntry,
   WeightCopies,
 } from './lib/replica_entry.ts';
+export {incarnationOf} from './lib/replica_entry.ts';
 export {NO_GENERATION, tokensOf, type Generation, type PromptPart} from './lib/generation.ts';
--- a/packages/serving/src/lib/replica_entry.ts
+++ b/packages/serving/src/lib/replica_entry.ts
@@ -51,6 +51,17 @@
   readonly copies: WeightCopies;
 }
 
+/**
+ * Names one start of a replica: a replica may start again under the id that it had.
+ *
+ * @example
+ * gone.add(incarnationOf(replica.entry));
+ * @public
+ */
+export function incarnationOf({id, bornMs}: ReplicaEntry): string {
+  return `${id}/${bornMs}`;
+}
+
 /** An order to a model replica. @public */
 export interface EngineOrder {
   readonly operation: 'load' | 'unload';
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -132,7 +132,7 @@
   {
     name: 'every gateway asks the store',
     file: 'apps/gateway/src/lib/fleet_feed.ts',
-    find: 'else if (this.isRelayed())',
+    find: 'else if (this.isRelayed)',
     replace: 'else if (false)',
     features: ['features/users_platform.feature', '--name', 'hear of the store'],
   },
