Tell of headers in which replicas speak and that nothing reads

Each tells now of a header with the prefix of the replicas' own once, with a counter for each name; names beyond 32 are counted together.

Before: unread_headers.feature failed in both scenarios, nothing was logged. After: both pass.

--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -1,5 +1,5 @@
 /** What a caller's request needs of the rest of the gateway. */
-import type {Clock, Logger} from '@jasminepost/core';
+import type {Clock, Logger, UnreadHeaders} from '@jasminepost/core';
 import type {DeadlineHabit, WindowBudget} from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
 import type {CallerRequest} from './caller_request.ts';
@@ -14,6 +14,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: GatewayMetrics;
+  readonly unreadHeaders: UnreadHeaders;
   readonly zone: string;
   /** Round trip to another availability zone, in milliseconds. */
   readonly crossZoneMs: number;
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -7,6 +7,7 @@
   onReloadSignal,
   SettingsError,
   SystemClock,
+  UnreadHeaders,
   type Logger,
 } from '@jasminepost/core';
 import {HelloGuard, type MemberInfo} from '@jasminepost/mesh';
@@ -124,6 +125,7 @@
     clock,
     log,
     metrics,
+    unreadHeaders: new UnreadHeaders(metrics.registry, log),
     zone: own.zone,
     crossZoneMs: settings.crossZoneMs,
     table,
--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -8,6 +8,7 @@
   onReloadSignal,
   RepeatingTask,
   SystemClock,
+  UnreadHeaders,
 } from '@jasminepost/core';
 import {FenceCounter} from '@jasminepost/key_value';
 import {
@@ -53,7 +54,10 @@
     registry.counter<StoreCall>('store_calls', 'Calls to the platform store', 'call'),
     (era, before) => log.warn('store came back from a copy', {era, before}),
   );
-  const control = new EngineControl(settings.replica, CONTROL_TIMEOUT_MS);
+  const unreadHeaders = new UnreadHeaders(registry, log);
+  const control = new EngineControl(settings.replica, CONTROL_TIMEOUT_MS, names =>
+    unreadHeaders.note(names, identity.id),
+  );
   const fence = new FenceCounter(store, own.id);
   let identity = {id: '', bornMs: 0};
   const interest = new LoadInterest(own.zone);
--- /dev/null
+++ b/features/steps/unread_header_steps.ts
@@ -0,0 +1,40 @@
+/** Steps about headers of replicas that no code reads. */
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import type {FleetProcess} from '../support/fleet_process.ts';
+import {of, replicas} from '../support/users_notes.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+function toldOf({log}: FleetProcess, name: string): number {
+  const lines = log.join('').split('\n');
+  return lines.filter(line => line.includes('header is not read') && line.includes(name)).length;
+}
+
+When('all replicas send {string} in each answer', function (this: FleetWorld, header: string) {
+  const [name, value] = header.split(': ');
+  for (const replica of replicas(this)) replica.moreHeaders = {[name]: value};
+});
+
+When(
+  'a caller sends {int} orders, and each answer has another header',
+  async function (this: FleetWorld, count: number) {
+    const {fleet} = of(this);
+    for (let i = 0; i < count; i++) {
+      replicas(this)[0].moreHeaders = {[`server-color-${i}`]: 'green'};
+      await fleet.call({path: '/order/7'});
+    }
+  },
+);
+
+Then(
+  'the gateway and the steward have told of {string} once',
+  function (this: FleetWorld, name: string) {
+    const {fleet} = of(this);
+    const told = [fleet.gateways[0].process, fleet.stewards[0]].map(each => toldOf(each, name));
+    assert.deepEqual(told, [1, 1]);
+  },
+);
+
+Then('the gateway has told of {int} headers', function (this: FleetWorld, count: number) {
+  assert.equal(toldOf(of(this).fleet.gateways[0].process, 'server-color'), count);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,3 +42,4 @@
 export type {RequestClass, UpstreamKind} from './lib/vocabulary.ts';
 export {resetNow} from './lib/reset_now.ts';
 export {listenOn} from './lib/listen_on.ts';
+export {UnreadHeaders} from './lib/unread_headers.ts';
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -51,6 +51,8 @@
 
 export class UsersReplica {
   fault: ReplicaFault = 'none';
+  /** Headers in all its answers, beside its usual ones. */
+  moreHeaders: Readonly<Record<string, string>> = {};
   /** True once it says in each answer that it leaves, whatever its entry says. */
   saysLeaving = false;
   /** With the fault 'sheds': what its refusals say of when to come back; undefined for nothing. */
@@ -194,6 +196,7 @@
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readText(req);
+    for (const [name, value] of Object.entries(this.moreHeaders)) res.setHeader(name, value);
     if (this.saysLeaving) res.setHeader('server-leaving', '1');
     if (this.saysLeaving) this.toldMs ??= performance.now();
     if (req.url === '/-/report' && this.endlessReport !== undefined) {
