--- /dev/null
+++ b/features/steps/stated_limit_steps.ts
@@ -0,0 +1,182 @@
+/** Steps about replicas that name the most requests a second that they take. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
+import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import type {UsersFleet} from '../support/users_fleet.ts';
+import {of, replicas} from '../support/users_notes.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const WINDOW_MS = 4000;
+/** Requests in a window: so many times what the limit allows, and some more. */
+const OVERSHOOT = 1.5;
+const SLACK = 5;
+/** Gateways have heard of a limit by then, and what they had sent before has arrived. */
+const HEARD_MS = 1000;
+/** The planner's role is taken by then: gateways hear of each other by way of its holder. */
+const ROLE_MS = 2400;
+/** When something happens to a process, and how long it lasts. */
+const EVENT_MS = 3000;
+const EVENT_FOR_MS = 4000;
+/** Longest time for answers that are still to come. */
+const SETTLE_MS = 3500;
+
+/** When each replica named its newest limit. */
+const namedMs = new WeakMap<UsersReplica, number>();
+
+function setLimit(replica: UsersReplica, limit: string): void {
+  const values = limit.split('; ');
+  replica.limit = values.length === 1 ? limit : values;
+  namedMs.set(replica, performance.now());
+}
+
+function assertWithinLimit({limit, arrivalsMs}: UsersReplica, sinceMs: number): void {
+  const allowed = OVERSHOOT * Number(limit) * (WINDOW_MS / 1000) + SLACK;
+  const counted = arrivalsMs.filter(atMs => atMs > sinceMs + HEARD_MS);
+  for (const fromMs of counted) {
+    const {length} = counted.filter(atMs => atMs >= fromMs && atMs < fromMs + WINDOW_MS);
+    assert.ok(length <= allowed, `${length} requests in a window, allowed ${allowed}`);
+  }
+}
+
+/** Sends calls at a steady rate, each path in turn, to each gateway that runs in turn. */
+async function sendSteadily(
+  world: FleetWorld,
+  paths: readonly string[],
+  perS: number,
+  forMs: number,
+): Promise<void> {
+  const found = of(world);
+  const calls: Array<ReturnType<UsersFleet['call']>> = [];
+  const startMs = performance.now();
+  while (performance.now() < startMs + forMs) {
+    const serving = found.fleet.gateways.map((_, i) => i).filter(i => i !== found.still);
+    const {length} = calls;
+    const gateway = serving[Math.floor(length / paths.length) % serving.length];
+    calls.push(found.fleet.call({path: paths[length % paths.length], gateway}));
+    await sleep(startMs + ((length + 1) * 1000) / perS - performance.now());
+  }
+  found.answers.push(...(await Promise.all(calls)));
+}
+
+async function disturb(world: FleetWorld, what: string): Promise<void> {
+  const found = of(world);
+  const {fleet} = found;
+  await sleep(EVENT_MS);
+  const planner = fleet.plannerIndex();
+  const index = what.startsWith('another') ? (planner + 1) % fleet.gateways.length : planner;
+  const {process} = fleet.gateways[index];
+  switch (what.replace(/^(the planner's|another) gateway /, '')) {
+    case 'is stopped and started':
+    case 'is killed and started':
+      found.still = index;
+      if (what.includes('killed')) await process.kill();
+      process.signal('SIGTERM');
+      await process.exited;
+      await sleep(EVENT_FOR_MS);
+      fleet.restartGateway(index);
+      await sleep(ROLE_MS);
+      found.still = undefined;
+      return;
+    case 'stands still for 4 s':
+      found.still = index;
+      process.signal('SIGSTOP');
+      await sleep(EVENT_FOR_MS);
+      process.signal('SIGCONT');
+      found.still = undefined;
+      return;
+    case 'the stewards are killed':
+      for (const steward of fleet.stewards) await steward.kill();
+      return;
+    case 'the store is away':
+      fleet.store.mode = 'unavailable';
+      await sleep(EVENT_FOR_MS);
+      fleet.store.mode = 'up';
+      return;
+    default:
+      assert.fail(what);
+  }
+}
+
+Given("the planner's role is taken", async () => {
+  await sleep(ROLE_MS);
+});
+
+When(
+  'the replica that a request went to names a limit of {string} requests a second',
+  async function (this: FleetWorld, limit: string) {
+    const {fleet} = of(this);
+    await fleet.call({path: fleet.engines.length > 0 ? '/draft/7' : '/order/7'});
+    setLimit(
+      replicas(this).find(({runs}) => runs.length > 0)!,
+      limit,
+    );
+  },
+);
+
+When(
+  'all replicas name a limit of {string} requests a second',
+  function (this: FleetWorld, limit: string) {
+    for (const replica of replicas(this)) setLimit(replica, limit);
+  },
+);
+
+When('all replicas name no limit', function (this: FleetWorld) {
+  for (const replica of replicas(this)) replica.limit = undefined;
+});
+
+When(
+  /^callers send (\d+) (order|draft)s a second for (\d+) ms, to each gateway in turn$/,
+  {timeout: 30_000},
+  async function (this: FleetWorld, perS: string, what: string, forMs: string) {
+    await sendSteadily(this, [`/${what}/7`], Number(perS), Number(forMs));
+  },
+);
+
+When(
+  /^callers send (\d+) orders and drafts a second for (\d+) ms while (.+)$/,
+  {timeout: 40_000},
+  async function (this: FleetWorld, perS: string, forMs: string, what: string) {
+    await sleep(ROLE_MS);
+    const disturbed = disturb(this, what);
+    await sendSteadily(this, ['/order/7', '/draft/7'], Number(perS), Number(forMs));
+    await disturbed;
+  },
+);
+
+When(
+  '{int} callers send an order at once to the second gateway',
+  {timeout: SETTLE_MS * 3},
+  async function (this: FleetWorld, count: number) {
+    const found = of(this);
+    const calls = Array.from({length: count}, () =>
+      found.fleet.call({path: '/order/7', gateway: 1}),
+    );
+    found.answers.push(...(await Promise.all(calls)));
+  },
+);
+
+Then('no replica got more in any 4 s than its limit allows', function (this: FleetWorld) {
+  const limited = replicas(this).filter(({limit}) => limit !== undefined);
+  assert.ok(limited.length > 0);
+  for (const replica of limited) assertWithinLimit(replica, namedMs.get(replica)!);
+});
+
+Then('each replica got {int} requests or more', function (this: FleetWorld, least: number) {
+  for (const {arrivalsMs} of replicas(this)) {
+    assert.ok(arrivalsMs.length >= least, String(arrivalsMs.length));
+  }
+});
+
+Then('each replica got at most {int} requests', function (this: FleetWorld, most: number) {
+  for (const {arrivalsMs} of replicas(this)) {
+    assert.ok(arrivalsMs.length <= most, String(arrivalsMs.length));
+  }
+});
+
+Then('each refusal came with a time to return', function (this: FleetWorld) {
+  for (const {status, headers, cut} of of(this).answers) {
+    assert.deepEqual([status === 200 || status === 503, cut], [true, false], String(status));
+    if (status === 503) assert.ok(Number(headers['retry-after']) > 0);
+  }
+});
--- a/features/steps/store_era_steps.ts
+++ b/features/steps/store_era_steps.ts
@@ -142,8 +142,7 @@
 
 When("the planner's gateway is killed and starts again", async function (this: FleetWorld) {
   const {fleet} = of(this);
-  const {holder} = JSON.parse(fleet.store.read('planner/holder') ?? '{}') as {holder: string};
-  const index = fleet.gateways.findIndex(({ip}) => holder.startsWith(`${ip}:`));
+  const index = fleet.plannerIndex();
   await fleet.gateways[index].process.kill();
   fleet.restartGateway(index);
   await sleep(RESTARTED_MS);
--- a/features/steps/users_platform_steps.ts
+++ b/features/steps/users_platform_steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {After, Given, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
-import type {ReplicaFault} from '../../stand_ins/users_platform/replica.ts';
+import type {ReplicaFault} from '../../stand_ins/users_platform/replica_fault.ts';
 import {until} from '../support/fleet_process.ts';
 import {MODEL, MODELS, UsersFleet} from '../support/users_fleet.ts';
 import {notes, of, replicas} from '../support/users_notes.ts';
@@ -322,9 +322,8 @@
 When("the planner's gateway stands still", function (this: FleetWorld) {
   const found = of(this);
   const {fleet} = found;
-  const {holder} = JSON.parse(fleet.store.read('planner/holder') ?? '{}') as {holder: string};
-  found.still = fleet.gateways.findIndex(({ip}) => holder.startsWith(`${ip}:`));
-  assert.ok(found.still >= 0, holder);
+  found.still = fleet.plannerIndex();
+  assert.ok(found.still >= 0, 'no gateway plans');
   fleet.gateways[found.still].process.signal('SIGSTOP');
 });
 
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -114,6 +114,12 @@
     return this.hosts.get(replica) ?? '';
   }
 
+  /** Index of the gateway that holds the planner's role; -1 when none does. */
+  plannerIndex(): number {
+    const {holder} = JSON.parse(this.store.read('planner/holder') ?? '{}') as {holder?: string};
+    return this.gateways.findIndex(({ip}) => holder?.startsWith(`${ip}:`));
+  }
+
   /** Writes the replica's entry. */
   register(replica: UsersReplica, state: 'ready' | 'draining' = 'ready'): void {
     const host = this.hosts.get(replica) ?? '';
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -2,7 +2,8 @@
 import {sleep} from '@jasminepost/core';
 import type {FleetProcess} from '../features/support/fleet_process.ts';
 import type {UsersFleet} from '../features/support/users_fleet.ts';
-import type {ReplicaFault, UsersReplica} from '../stand_ins/users_platform/replica.ts';
+import type {UsersReplica} from '../stand_ins/users_platform/replica.ts';
+import type {ReplicaFault} from '../stand_ins/users_platform/replica_fault.ts';
 import type {LinkState, LoopbackProxy} from '../features/support/loopback_proxy.ts';
 
 export type FaultKind =
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -4,21 +4,7 @@
 import {resetNow, sleep} from '@jasminepost/core';
 import {sendJson} from '../json_server.ts';
 import {writeWithoutEnd, type EndlessAnswer} from './endless_answer.ts';
-
-/** What goes wrong with the requests to come. */
-export type ReplicaFault =
-  | 'none'
-  | 'sheds'
-  | 'sheds without saying so'
-  | 'fails'
-  | 'unsigned'
-  | 'foreign answer'
-  | 'cut in the answer'
-  | 'unframed'
-  | 'unframed and cut'
-  | 'reset before the answer'
-  | 'mute'
-  | 'cut in an event';
+import type {ReplicaFault} from './replica_fault.ts';
 
 export interface SeenRequest {
   readonly id: string;
@@ -53,6 +39,8 @@
   fault: ReplicaFault = 'none';
   /** Headers in all its answers, beside its usual ones. */
   moreHeaders: Readonly<Record<string, string>> = {};
+  /** Requests a second that it names in each answer as the most it takes; undefined for none. */
+  limit: string | readonly string[] | undefined;
   /** True once it says in each answer that it leaves, whatever its entry says. */
   saysLeaving = false;
   /** With the fault 'sheds': what its refusals say of when to come back; undefined for nothing. */
@@ -129,6 +117,7 @@
     this.born = Date.now();
     this.sequence = 0;
     this.saysLeaving = false;
+    this.limit = undefined;
     this.models.clear();
     this.server.closeAllConnections();
   }
@@ -197,6 +186,7 @@
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readText(req);
     for (const [name, value] of Object.entries(this.moreHeaders)) res.setHeader(name, value);
+    if (this.limit !== undefined) res.setHeader('server-limit', this.limit);
     if (this.saysLeaving) res.setHeader('server-leaving', '1');
     if (this.saysLeaving) this.toldMs ??= performance.now();
     if (req.url === '/-/report' && this.endlessReport !== undefined) {
