Keep to the limits that replicas name, by permits that the planner's gateway deals

Cause: no code read the header. The class of fault is a bound that the whole fleet shares and that nobody owns, so each gateway sends as if it were alone.

Change: a limit is believed by rules for answers that overtake each other (stated_limit). A new dealer first lets lapse what the one before it dealt; a permit counts from the question, so that a late answer brings none. Limits spread by answers, stewards' reports and by way of the planner. Other replicas take the work first; what can't be sent in time anywhere is refused at once with a time of its own to return. EnginePlacer is split from EngineLine, plain services get a line for this case alone.

--- a/apps/gateway/src/lib/answer_notes.ts
+++ b/apps/gateway/src/lib/answer_notes.ts
@@ -1,6 +1,7 @@
 /** What the head of an answer tells of its replica: load, leaving, a wish for a pause. */
 import type {ReplicaHead} from '@jasminepost/platform';
 import type {GatewayContext} from './gateway_context.ts';
+import type {Attempt} from './attempt.ts';
 import type {Replica} from './replica.ts';
 
 /** Gateways that were turned away together come back one after the other within this. */
@@ -12,13 +13,15 @@
 }
 
 /** @internal */
-export function noteHead(ctx: GatewayContext, replica: Replica, head: ReplicaHead): void {
+export function noteHead(ctx: GatewayContext, {replica, sentMs}: Attempt, head: ReplicaHead): void {
   const {clock, line, log} = ctx;
   const nowMs = clock.monotonicMs();
   if (head.unread.length > 0) ctx.unreadHeaders.note(head.unread, replica.id);
   if (head.load !== undefined) replica.onStatedLoad(head.load, nowMs);
   // Another replica speaks of itself.
   if (isOfAnother(head, replica)) return;
+  if (head.limitPerS === 'unreadable') ctx.unreadHeaders.note(['server-limit'], replica.id);
+  else ctx.limits.onAnswer(replica, head.limitPerS, sentMs);
   if (head.leaving && replica.note({kind: 'said_leaving'}, nowMs)) {
     log.info('replica leaves', {replica: replica.id, inFlight: replica.inFlight});
     line.wake();
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -26,7 +26,6 @@
 import type {GatewayContext} from './gateway_context.ts';
 import type {Ending} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
-import {chooseServiceReplica} from './service_choice.ts';
 
 /** Sends of one request in which no replica ran it. */
 const MAX_SENDS = 3;
@@ -35,8 +34,6 @@
 /** Least time that a request needs at a replica to be worth sending. */
 const MIN_SERVICE_MS = 40;
 const DEFAULT_RETRY_AFTER_MS = 300;
-/** Added to a replica's pause, so that a caller does not return just before its end. */
-const MIN_PAUSE_MS = 100;
 
 /** What ended one attempt. */
 type AttemptEnd = Readonly<{verdict: Verdict; detail: string}>;
@@ -189,23 +186,13 @@
       this.ctx.line.submit(this);
       return;
     }
-    const choice = chooseServiceReplica(this.ctx, this.service, this.excluded);
-    if (choice.kind === 'paused') {
-      this.refuse('replicas_paused', choice.waitMs + MIN_PAUSE_MS, {listed: choice.listed});
-      return;
-    }
-    if (choice.kind === 'none') {
-      this.refuse('no_replica', DEFAULT_RETRY_AFTER_MS, {listed: choice.listed});
-      return;
-    }
-    const {reportedPaid: reported, ownInFlight, serviceMs} = choice.candidate;
-    this.send(choice.replica, {reported, ownInFlight, serviceMs: Math.round(serviceMs)});
+    this.ctx.services.submit(this);
   }
 
   private onHead(head: ReplicaHead): void {
     const {replica, sentMs} = this.attempt!;
     const nowMs = this.ctx.clock.monotonicMs();
-    noteHead(this.ctx, replica, head);
+    noteHead(this.ctx, this.attempt!, head);
     if (head.requestId !== '' && head.requestId !== this.head.requestId) {
       // An answer to an earlier request: the connection is out of step.
       this.rejectAnswer('foreign answer');
@@ -325,7 +312,7 @@
   private onDeadline(): void {
     if (this.finished) return;
     const sent = this.exchange !== undefined;
-    this.ctx.line.withdraw(this);
+    this.withdraw();
     if (sent) this.abandon();
     if (!sent && this.sends === 0) this.refuse('deadline_passed', 0, {});
     else this.fail(504, 'deadline_passed', {});
@@ -333,11 +320,16 @@
 
   private onCallerGone(): void {
     if (this.finished) return;
-    this.ctx.line.withdraw(this);
+    this.withdraw();
     this.abandon();
     this.finish('caller_gone', {});
   }
 
+  private withdraw(): void {
+    this.ctx.line.withdraw(this);
+    this.ctx.services.withdraw(this);
+  }
+
   private abandon(): void {
     if (this.exchange === undefined) return;
     const {replica, sentMs} = this.attempt!;
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -1,26 +1,19 @@
 /** Generations that wait for a model replica, and their way to one. */
-import {fnv1a32, type Clock} from '@jasminepost/core';
+import type {Clock} from '@jasminepost/core';
 import {
-  chooseEngine,
   compareWaiting,
   DrainPace,
-  isLateBehind,
   mayWait,
   waitingState,
   type EngineCandidate,
-  type EngineNeed,
   type Waiting,
 } from '@jasminepost/policy';
 import type {EngineSpec, Generation} from '@jasminepost/serving';
 import type {DemandMeter} from './demand_meter.ts';
+import type {EnginePlacer, Obstacle} from './engine_placer.ts';
 import type {PrefillEstimator} from './prefill_estimator.ts';
 import type {Replica} from './replica.ts';
-import type {ReplicaTable} from './replica_table.ts';
 
-/** Backlog of unstarted requests up to which a replica is given more. */
-const MAX_BACKLOG_MS = 220;
-/** Share of a prompt's prefill that a kept prefix is taken to save, at most. */
-const MAX_SAVED_SHARE = 0.5;
 /** Waiting requests are looked at this often when nothing else happens. */
 const SWEEP_MS = 40;
 /** Added to computed waits, so that refused callers do not all return at once. */
@@ -51,27 +44,18 @@
 /** @internal */
 export interface EngineLineContext {
   readonly clock: Clock;
-  readonly zone: string;
-  readonly table: ReplicaTable;
+  readonly placer: EnginePlacer;
   readonly estimator: PrefillEstimator;
   readonly demand: DemandMeter;
   engineOf(service: string): EngineSpec | undefined;
   /** True once the gateway has only the time to finish what has been sent. */
   isClosing(): boolean;
-  /** True when the replica's steward can load an adapter now. */
-  canLoadAdapter(replica: Replica): boolean;
+  /** Uses a permit of a replica that has named a limit; false when there is none. */
+  tryPermit(replica: Replica): boolean;
   /** Tells a replica's steward that requests are sent there. */
   showInterest(replica: Replica): void;
-  /** Asks a replica's steward for an adapter, or tells it that one is in use. */
-  wishAdapter(replica: Replica, model: string, adapter: string): void;
 }
 
-/**
- * `late_here`: it would be late at every replica, and others wait that would not be. `paused`: all
- * holders have asked for a pause.
- */
-type Placing = 'sent' | 'full' | 'late_here' | 'no_holder' | 'adapter' | 'paused';
-
 /** The requests of one rank that wait for one model; more urgent ones slow its pace. */
 interface RankLine {
   length: number;
@@ -81,7 +65,7 @@
 /** @internal */
 export class EngineLine {
   /** Waiting requests and what kept each of them from being sent. */
-  private readonly members = new Map<LineMember, Placing>();
+  private readonly members = new Map<LineMember, Obstacle>();
   /** Lines of each `service/model`, by rank. */
   private readonly lines = new Map<string, Map<number, RankLine>>();
   private sweepTimer: NodeJS.Timeout | undefined;
@@ -103,7 +87,7 @@
     }
     ctx.demand.count(member.service, member.generation, member.patient);
     const {ahead, aheadInRank} = this.countAhead(member);
-    const placing = ahead > 0 ? this.placingBehind(member) : this.place(member);
+    const placing = ahead > 0 ? ctx.placer.obstacleBehind(member) : this.place(member);
     if (placing === 'sent') return;
     if (ctx.isClosing()) {
       member.refuse('leaving', LEAVING_RETURN_MS, {placing});
@@ -111,13 +95,15 @@
     }
     const nowMs = ctx.clock.monotonicMs();
     if (placing === 'no_holder') {
-      const waitMs = this.loadTimeMs(member);
+      const waitMs = ctx.placer.loadTimeMs(member);
       if (waitingState(member, nowMs + waitMs) === 'hopeless') {
         member.refuse('no_holder', returnMs(waitMs), {waitMs: Math.round(waitMs)});
         return;
       }
     } else if (placing === 'paused') {
       if (this.refusePaused(member, nowMs)) return;
+    } else if (placing === 'limited') {
+      if (this.refuseLimited(member, ahead, nowMs)) return;
     } else if (placing !== 'adapter') {
       const waitMs = this.lineOf(member).pace.waitMs(aheadInRank, nowMs);
       if (!mayWait(member, waitMs, nowMs)) {
@@ -158,7 +144,7 @@
     clearInterval(this.sweepTimer);
   }
 
-  private enter(member: LineMember, placing: Placing, nowMs: number): void {
+  private enter(member: LineMember, placing: Obstacle, nowMs: number): void {
     this.members.set(member, placing);
     const line = this.lineOf(member);
     line.length += 1;
@@ -178,6 +164,8 @@
     const full = new Set<string>();
     /** Models of which a request that can still be on time could not be sent. */
     const blocked = new Set<string>();
+    /** Requests that wait for each model whose holders have used up their limits. */
+    const limited = new Map<string, number>();
     const line = [...this.members.keys()].sort((a, b) => compareWaiting(a, b, nowMs));
     for (const member of line) {
       if (this.ctx.isClosing()) {
@@ -202,6 +190,9 @@
         this.turnAway(member, 'overloaded', nowMs);
         continue;
       }
+      const ahead = limited.get(key) ?? 0;
+      if (ahead > 0 && this.refuseLimited(member, ahead, nowMs)) continue;
+      if (ahead > 0) limited.set(key, ahead + 1);
       if (full.has(key)) continue;
       const placing = this.place(member);
       if (placing === 'sent') {
@@ -213,6 +204,10 @@
         continue;
       }
       if (placing === 'paused' && this.refusePaused(member, nowMs)) continue;
+      if (placing === 'limited') {
+        if (this.refuseLimited(member, 0, nowMs)) continue;
+        limited.set(key, 1);
+      }
       this.members.set(member, placing);
       full.add(key);
       if (placing === 'full' && state === 'on_time') blocked.add(model);
@@ -231,47 +226,15 @@
     member.refuse(reason, Math.max(OVERLOAD_RETURN_MS, waitMs), {waitedMs, line: length});
   }
 
-  private placingBehind({service, generation}: LineMember): Placing {
-    return this.ctx.table.holders(service, generation.model).length > 0 ? 'full' : 'no_holder';
-  }
-
-  private place(member: LineMember): Placing {
-    const {ctx} = this;
-    const {service, generation} = member;
-    const nowMs = ctx.clock.monotonicMs();
-    const slots = ctx.engineOf(service)?.slots ?? 0;
-    const holders = ctx.table
-      .holders(service, generation.model)
-      .filter(replica => !member.excluded.has(replica.id));
-    if (holders.length === 0) return 'no_holder';
-    const open = holders.filter(replica => replica.mayTake(nowMs) !== 'no');
-    if (open.length === 0) return 'paused';
-    const healthy = open.filter(replica => replica.mayTake(nowMs) === 'yes');
-    const pool = healthy.length > 0 ? healthy : open;
-    const able = pool.filter(replica => this.canServe(replica, generation));
-    if (able.length === 0) return 'adapter';
-    const candidates = able.map(replica =>
-      replica.asEngineCandidate(generation.adapter, generation.model, slots, nowMs),
-    );
-    const choice = chooseEngine(candidates, this.needOf(generation));
-    if (choice.kind !== 'chosen') return 'full';
-    // Itself may be one of those that wait.
-    const othersWait = this.lengthFor(modelKey(member)) > 1;
-    if (othersWait && isLateBehind(member, choice.backlogMs, nowMs)) return 'late_here';
-    const candidate = candidates[choice.index];
-    const replica = able[choice.index];
-    if (generation.adapter !== '') {
-      ctx.wishAdapter(replica, generation.model, generation.adapter);
-      if (!candidate.hasAdapter) return 'adapter';
-    }
+  private place(member: LineMember): Obstacle | 'sent' {
+    const place = this.ctx.placer.place(member, this.lengthFor(modelKey(member)));
+    if (place.kind !== 'found') return place.kind;
+    const {replica, candidate} = place;
+    if (!this.ctx.tryPermit(replica)) return 'limited';
     this.dispatch(member, replica, candidate);
     return 'sent';
   }
 
-  private canServe(replica: Replica, {model, adapter}: Generation): boolean {
-    return replica.holds(model, adapter) || this.ctx.canLoadAdapter(replica);
-  }
-
   private dispatch(member: LineMember, replica: Replica, candidate: EngineCandidate): void {
     const {length, pace} = this.lineOf(member);
     const isWaiting = this.members.has(member);
@@ -285,22 +248,6 @@
     });
   }
 
-  private needOf(generation: Generation): EngineNeed {
-    const {model, adapter, parts, tokensIn, maxTokensOut} = generation;
-    const shared = parts.slice(0, -1);
-    const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
-    const savedTokens = Math.min(sharedTokens, tokensIn * MAX_SAVED_SHARE);
-    const last = shared.at(-1);
-    return {
-      zone: this.ctx.zone,
-      prefixHash: last === undefined ? 0 : fnv1a32(`${model}/${adapter}/${last.id}`),
-      adapterHash: adapter === '' ? 0 : fnv1a32(`${model}/${adapter}`),
-      prefixSavingMs: this.ctx.estimator.estimateMs(model, savedTokens),
-      tokens: tokensIn + maxTokensOut,
-      maxBacklogMs: MAX_BACKLOG_MS,
-    };
-  }
-
   /** Requests of its model that go first; a wait for an adapter is short and holds up nobody else. */
   private countAhead(member: LineMember): {ahead: number; aheadInRank: number} {
     const counts = {ahead: 0, aheadInRank: 0};
@@ -339,29 +286,22 @@
 
   /** Refuses a request that can't wait until the first of its model's holders takes any again. */
   private refusePaused(member: LineMember, nowMs: number): boolean {
-    const holders = this.ctx.table.holders(member.service, member.generation.model);
-    const waitMs = Math.min(...holders.map(replica => replica.pauseLeftMs(nowMs)));
+    const waitMs = this.ctx.placer.pausedMs(member);
     if (waitingState(member, nowMs + waitMs) !== 'hopeless') return false;
     this.leave(member);
     member.refuse('replicas_paused', returnMs(waitMs), {waitMs: Math.round(waitMs)});
     return true;
   }
 
-  /** Time in which some replica could have the model, from the nearest copy of its weights. */
-  private loadTimeMs(member: LineMember): number {
-    const {service, generation} = member;
-    const spec = this.ctx.engineOf(service)?.models.get(generation.model);
-    if (spec === undefined) return Number.POSITIVE_INFINITY;
-    let seconds = Number.POSITIVE_INFINITY;
-    for (const replica of this.ctx.table.ofService(service)) {
-      if (replica.state?.moving === generation.model)
-        seconds = Math.min(seconds, spec.diskLoadS / 2);
-      const {inMemory, onDisk} = replica.copies;
-      if (inMemory.includes(spec.name)) seconds = Math.min(seconds, spec.memoryLoadS);
-      else if (onDisk.includes(spec.name)) seconds = Math.min(seconds, spec.diskLoadS);
-      else seconds = Math.min(seconds, spec.storeLoadS);
-    }
-    return seconds * 1000;
+  /** Refuses a request that can't wait until its model's holders may be sent one more. */
+  private refuseLimited(member: LineMember, ahead: number, nowMs: number): boolean {
+    const {placer} = this.ctx;
+    const waitMs = placer.limitedMs(member, ahead);
+    if (waitingState(member, nowMs + waitMs) !== 'hopeless') return false;
+    this.leave(member);
+    const retryAfterMs = placer.limitedReturnMs(member, ahead);
+    member.refuse('replicas_limited', retryAfterMs, {ahead, waitMs: Math.round(waitMs)});
+    return true;
   }
 }
 
--- /dev/null
+++ b/apps/gateway/src/lib/engine_placer.ts
@@ -0,0 +1,166 @@
+/** Finds the model replica for a generation, or tells what keeps it from being sent. */
+import {fnv1a32, type Clock} from '@jasminepost/core';
+import {
+  chooseEngine,
+  isLateBehind,
+  type EngineCandidate,
+  type EngineNeed,
+} from '@jasminepost/policy';
+import type {EngineSpec, Generation} from '@jasminepost/serving';
+import type {LineMember} from './engine_line.ts';
+import type {LimitDesk} from './limit_desk.ts';
+import type {PrefillEstimator} from './prefill_estimator.ts';
+import type {Replica} from './replica.ts';
+import type {ReplicaTable} from './replica_table.ts';
+
+/** Backlog of unstarted requests up to which a replica is given more. */
+const MAX_BACKLOG_MS = 220;
+/** Share of a prompt's prefill that a kept prefix is taken to save, at most. */
+const MAX_SAVED_SHARE = 0.5;
+
+/** @internal */
+export interface EnginePlacerContext {
+  readonly clock: Clock;
+  readonly zone: string;
+  readonly table: ReplicaTable;
+  readonly limits: LimitDesk;
+  readonly estimator: PrefillEstimator;
+  engineOf(service: string): EngineSpec | undefined;
+  /** True when the replica's steward can load an adapter now. */
+  canLoadAdapter(replica: Replica): boolean;
+  /** Asks a replica's steward for an adapter, or tells it that one is in use. */
+  wishAdapter(replica: Replica, model: string, adapter: string): void;
+}
+
+/**
+ * `late_here`: it would be late at every replica, and others wait that would not be. `paused`: all
+ * holders have asked for a pause. `limited`: all that may take it have named limits, which are used
+ * up.
+ *
+ * @internal
+ */
+export type Obstacle = 'full' | 'late_here' | 'no_holder' | 'adapter' | 'paused' | 'limited';
+
+/** @internal */
+export type Place =
+  | {readonly kind: 'found'; readonly replica: Replica; readonly candidate: EngineCandidate}
+  | {readonly kind: Obstacle};
+
+/** @internal */
+export class EnginePlacer {
+  constructor(private readonly ctx: EnginePlacerContext) {}
+
+  /**
+   * Replicas that have named a limit are in need: the others take their work, as long as they have
+   * room for it.
+   *
+   * @param waiting - Requests that wait for the model; itself may be one of them.
+   */
+  place(member: LineMember, waiting: number): Place {
+    const {ctx} = this;
+    const {service, generation} = member;
+    const nowMs = ctx.clock.monotonicMs();
+    const holders = ctx.table
+      .holders(service, generation.model)
+      .filter(replica => !member.excluded.has(replica.id));
+    if (holders.length === 0) return {kind: 'no_holder'};
+    const open = holders.filter(replica => replica.mayTake(nowMs) !== 'no');
+    if (open.length === 0) return {kind: 'paused'};
+    const healthy = open.filter(replica => replica.mayTake(nowMs) === 'yes');
+    const pool = healthy.length > 0 ? healthy : open;
+    const able = pool.filter(replica => this.canServe(replica, generation));
+    if (able.length === 0) return {kind: 'adapter'};
+    const free = able.filter(({limit}) => limit.kind === 'none');
+    const place = this.choose(member, free, waiting);
+    if (place.kind !== 'full' || free.length === able.length) return place;
+    const limited = able.filter(({limit}) => limit.kind === 'named');
+    ctx.limits.want(limited, Math.max(1, waiting));
+    const permitted = limited.filter(replica => ctx.limits.isOpen(replica));
+    if (permitted.length > 0) return this.choose(member, permitted, waiting);
+    return {kind: free.length > 0 ? 'full' : 'limited'};
+  }
+
+  /** What keeps a request from being sent while others go first. */
+  obstacleBehind({service, generation}: LineMember): Obstacle {
+    const holders = this.ctx.table.holders(service, generation.model);
+    if (holders.length === 0) return 'no_holder';
+    return holders.every(({limit}) => limit.kind === 'named') ? 'limited' : 'full';
+  }
+
+  /** Time until the first of the model's holders takes requests again. */
+  pausedMs(member: LineMember): number {
+    const nowMs = this.ctx.clock.monotonicMs();
+    return Math.min(...this.holdersFor(member).map(replica => replica.pauseLeftMs(nowMs)));
+  }
+
+  /** Time until one of the model's holders may be sent a request behind `ahead` others. */
+  limitedMs(member: LineMember, ahead: number): number {
+    return this.ctx.limits.waitMs(this.holdersFor(member), ahead);
+  }
+
+  /** Time after which a caller that is refused for the holders' limits should return. */
+  limitedReturnMs(member: LineMember, ahead: number): number {
+    return this.ctx.limits.returnInMs(this.holdersFor(member), ahead);
+  }
+
+  /** Time in which some replica could have the model, from the nearest copy of its weights. */
+  loadTimeMs({service, generation}: LineMember): number {
+    const spec = this.ctx.engineOf(service)?.models.get(generation.model);
+    if (spec === undefined) return Number.POSITIVE_INFINITY;
+    let seconds = Number.POSITIVE_INFINITY;
+    for (const replica of this.ctx.table.ofService(service)) {
+      if (replica.state?.moving === generation.model)
+        seconds = Math.min(seconds, spec.diskLoadS / 2);
+      const {inMemory, onDisk} = replica.copies;
+      if (inMemory.includes(spec.name)) seconds = Math.min(seconds, spec.memoryLoadS);
+      else if (onDisk.includes(spec.name)) seconds = Math.min(seconds, spec.diskLoadS);
+      else seconds = Math.min(seconds, spec.storeLoadS);
+    }
+    return seconds * 1000;
+  }
+
+  private choose(member: LineMember, able: readonly Replica[], waiting: number): Place {
+    const {ctx} = this;
+    const {service, generation} = member;
+    const nowMs = ctx.clock.monotonicMs();
+    const slots = ctx.engineOf(service)?.slots ?? 0;
+    const candidates = able.map(replica =>
+      replica.asEngineCandidate(generation.adapter, generation.model, slots, nowMs),
+    );
+    const choice = chooseEngine(candidates, this.needOf(generation));
+    if (choice.kind !== 'chosen') return {kind: 'full'};
+    if (waiting > 1 && isLateBehind(member, choice.backlogMs, nowMs)) return {kind: 'late_here'};
+    const candidate = candidates[choice.index];
+    const replica = able[choice.index];
+    if (generation.adapter !== '') {
+      ctx.wishAdapter(replica, generation.model, generation.adapter);
+      if (!candidate.hasAdapter) return {kind: 'adapter'};
+    }
+    return {kind: 'found', replica, candidate};
+  }
+
+  private holdersFor({service, generation, excluded}: LineMember): Replica[] {
+    const holders = this.ctx.table.holders(service, generation.model);
+    return holders.filter(replica => !excluded.has(replica.id));
+  }
+
+  private canServe(replica: Replica, {model, adapter}: Generation): boolean {
+    return replica.holds(model, adapter) || this.ctx.canLoadAdapter(replica);
+  }
+
+  private needOf(generation: Generation): EngineNeed {
+    const {model, adapter, parts, tokensIn, maxTokensOut} = generation;
+    const shared = parts.slice(0, -1);
+    const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+    const savedTokens = Math.min(sharedTokens, tokensIn * MAX_SAVED_SHARE);
+    const last = shared.at(-1);
+    return {
+      zone: this.ctx.zone,
+      prefixHash: last === undefined ? 0 : fnv1a32(`${model}/${adapter}/${last.id}`),
+      adapterHash: adapter === '' ? 0 : fnv1a32(`${model}/${adapter}`),
+      prefixSavingMs: this.ctx.estimator.estimateMs(model, savedTokens),
+      tokens: tokensIn + maxTokensOut,
+      maxBacklogMs: MAX_BACKLOG_MS,
+    };
+  }
+}
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -6,8 +6,10 @@
 import type {CrashWatch} from './crash_watch.ts';
 import type {EngineLine} from './engine_line.ts';
 import type {GatewayMetrics} from './gateway_metrics.ts';
+import type {LimitDesk} from './limit_desk.ts';
 import type {PrefillEstimator} from './prefill_estimator.ts';
 import type {ReplicaTable} from './replica_table.ts';
+import type {ServiceLine} from './service_line.ts';
 
 /** @internal */
 export interface GatewayContext {
@@ -21,6 +23,8 @@
   readonly table: ReplicaTable;
   readonly estimator: PrefillEstimator;
   readonly line: EngineLine;
+  readonly services: ServiceLine;
+  readonly limits: LimitDesk;
   readonly crashes: CrashWatch;
   readonly deadlines: DeadlineHabit;
   engineOf(service: string): EngineSpec | undefined;
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -2,6 +2,7 @@
 import {MetricRegistry, type CounterFamily, type Histogram} from '@jasminepost/core';
 import type {LinkFault} from '@jasminepost/mesh';
 import type {StoreCall} from '@jasminepost/platform';
+import type {PermitEvent} from './limit_desk.ts';
 
 /** How a caller's request ended. @internal */
 export type Ending =
@@ -20,6 +21,7 @@
   readonly placements: CounterFamily<string>;
   readonly storeCalls: CounterFamily<StoreCall>;
   readonly crashEvidence: CounterFamily<CrashEvidence>;
+  readonly permits: CounterFamily<PermitEvent>;
   readonly linkFaults: CounterFamily<LinkFault>;
   readonly firstEvent: Histogram;
   readonly waited: Histogram;
@@ -42,6 +44,7 @@
       'Attempts that may have crashed their replica',
       'outcome',
     ),
+    permits: registry.counter('permits', 'Permits for replicas that have named a limit', 'event'),
     linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
     firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
     waited: registry.histogram('waited_ms', 'Time in the line before the request was sent'),
--- /dev/null
+++ b/apps/gateway/src/lib/permit_office.ts
@@ -0,0 +1,29 @@
+/** Answers the gateways' questions for permits while this one plans. */
+import type {Clock} from '@jasminepost/core';
+import type {PermitAskMessage, PermitGrantMessage} from '@jasminepost/mesh';
+import {PermitDealer} from '@jasminepost/policy';
+
+/** @internal */
+export class PermitOffice {
+  private term = 0;
+  private dealer: PermitDealer | undefined;
+
+  /** @param actingTerm - Term in which this gateway plans now; 0 while it does not. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly actingTerm: () => number,
+  ) {}
+
+  /** Deals permits; undefined while another gateway, or none, plans. */
+  answer({replica, perS, number, count}: PermitAskMessage): PermitGrantMessage | undefined {
+    const nowMs = this.clock.monotonicMs();
+    const term = this.actingTerm();
+    if (term !== this.term) {
+      this.term = term;
+      this.dealer = term === 0 ? undefined : new PermitDealer(nowMs);
+    }
+    if (this.dealer === undefined) return undefined;
+    const {permitsInMs, nextInMs} = this.dealer.deal(replica, perS, count, nowMs);
+    return {type: 'permit_grant', replica, number, permitsInMs: [...permitsInMs], nextInMs};
+  }
+}
--- a/apps/gateway/src/lib/planner_desk.ts
+++ b/apps/gateway/src/lib/planner_desk.ts
@@ -109,7 +109,7 @@
    * A holder goes on while the store does not answer, since hardly anybody can take the role over
    * then. Where others still reach the store, their larger term shows at the stewards.
    */
-  private actingTerm(): number {
+  actingTerm(): number {
     const {lease} = this.ctx;
     const held = lease.heldTerm();
     if (held > 0) return held;
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -4,9 +4,12 @@
   MeshClient,
   type CrashNewsMessage,
   type HelloGuard,
+  type LimitNewsMessage,
   type LinkFault,
   type MemberInfo,
   type ModelDemandMessage,
+  type PermitAskMessage,
+  type PermitGrantMessage,
   type StoreChangesMessage,
 } from '@jasminepost/mesh';
 
@@ -26,6 +29,10 @@
   crashNews(): CrashNewsMessage;
   /** Called for what another gateway tells of requests that crash replicas. */
   onCrashNews(message: CrashNewsMessage): void;
+  /** What is known here of limits that replicas have named. */
+  limitNews(): LimitNewsMessage;
+  onLimitNews(message: LimitNewsMessage): void;
+  onPermits(message: PermitGrantMessage): void;
 }
 
 /** @internal */
@@ -63,10 +70,14 @@
           // What was told over an earlier link may have been lost with it.
           const news = this.events.crashNews();
           if (news.requests.length > 0) client.link?.send(news);
+          const limits = this.events.limitNews();
+          if (limits.limits.length > 0) client.link?.send(limits);
         },
         onMessage: (_client, message) => {
           if (message.type === 'crash_news') this.events.onCrashNews(message);
           if (message.type === 'store_changes') this.events.onStoreChanges(message);
+          if (message.type === 'limit_news') this.events.onLimitNews(message);
+          if (message.type === 'permit_grant') this.events.onPermits(message);
         },
         onDown: (_client, fault) => this.log.info('planner lost', {host: address.host, fault}),
         isAwaiting: () => false,
@@ -88,6 +99,16 @@
     this.log.warn('crash news not sent', {requests: length, reason: 'no link to a planner'});
   }
 
+  /** Tells the planner of limits; without a link it hears of them when there is one. */
+  announceLimits(message: LimitNewsMessage): void {
+    this.client?.link?.send(message);
+  }
+
+  /** Asks the planner for permits; false without a link to it. */
+  askPermits(message: PermitAskMessage): boolean {
+    return this.client?.link?.send(message) === true;
+  }
+
   dispose(): void {
     this.disposer.dispose();
     this.client?.dispose();
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -5,15 +5,19 @@
   MeshServer,
   type CrashNewsMessage,
   type HelloGuard,
+  type LimitNewsMessage,
   type LinkFault,
   type MemberInfo,
   type MeshLink,
   type MeshMessage,
   type ModelDemandMessage,
+  type PermitAskMessage,
+  type PermitGrantMessage,
   type StoreChangesMessage,
 } from '@jasminepost/mesh';
 import type {StoreChange} from '@jasminepost/platform';
 import type {LoadAccount} from '@jasminepost/policy';
+import {PermitOffice} from './permit_office.ts';
 import {PlannerDesk, type PlannerContext} from './planner_desk.ts';
 import {PlannerLink} from './planner_link.ts';
 
@@ -43,6 +47,11 @@
   /** What is known here of requests that crash replicas. */
   crashNews(): CrashNewsMessage;
   onCrashNews(message: CrashNewsMessage): void;
+  /** What is known here of limits that replicas have named. */
+  limitNews(): LimitNewsMessage;
+  onLimitNews(message: LimitNewsMessage): void;
+  /** Called for an answer to `askPermits`. */
+  onPermits(message: PermitGrantMessage): void;
   /** Called for what the planner's gateway has read from the store. */
   onStoreChanges(message: StoreChangesMessage): void;
 }
@@ -53,6 +62,7 @@
   private readonly desk: PlannerDesk;
   private readonly link: PlannerLink;
   private readonly mesh: MeshServer;
+  private readonly office: PermitOffice;
   private holderKnown = false;
   private reachedMs = Number.NEGATIVE_INFINITY;
 
@@ -73,12 +83,16 @@
       lease: this.lease,
       heldByOther: () => this.holderKnown && !this.link.isOwnRole,
     });
+    this.office = new PermitOffice(clock, () => this.desk.actingTerm());
     this.link = new PlannerLink(self, address, guard, log, faults, {
       takeDemand: () => ctx.takeDemand(),
       onOwnDemand: message => this.desk.takeDemand(self.id, message),
       onStoreChanges: message => ctx.onStoreChanges(message),
       crashNews: () => ctx.crashNews(),
       onCrashNews: message => ctx.onCrashNews(message),
+      limitNews: () => ctx.limitNews(),
+      onLimitNews: message => ctx.onLimitNews(message),
+      onPermits: message => ctx.onPermits(message),
     });
     this.mesh = new MeshServer(
       self,
@@ -87,6 +101,8 @@
         onLink: link => {
           const news = ctx.crashNews();
           if (news.requests.length > 0) link.send(news);
+          const limits = ctx.limitNews();
+          if (limits.limits.length > 0) link.send(limits);
         },
         onMessage: (link, message) => this.receive(link, message),
         onLinkLost: () => undefined,
@@ -140,6 +156,21 @@
     else this.link.announce(message);
   }
 
+  /** Tells the other gateways of limits that replicas have named, by way of the planner. */
+  announceLimits(message: LimitNewsMessage): void {
+    if (this.link.isOwnRole) this.mesh.broadcast(message);
+    else this.link.announceLimits(message);
+  }
+
+  /** Asks for permits; false when nobody can be asked. */
+  askPermits(message: PermitAskMessage): boolean {
+    if (!this.link.isOwnRole) return this.link.askPermits(message);
+    const grant = this.office.answer(message);
+    if (grant === undefined) return false;
+    this.ctx.onPermits(grant);
+    return true;
+  }
+
   dispose(): void {
     this.lease.dispose();
     this.desk.dispose();
@@ -165,6 +196,15 @@
         this.ctx.onCrashNews(message);
         this.mesh.broadcast(message);
         return;
+      case 'limit_news':
+        this.ctx.onLimitNews(message);
+        this.mesh.broadcast(message);
+        return;
+      case 'permit_ask': {
+        const grant = this.office.answer(message);
+        if (grant !== undefined) link.send(grant);
+        return;
+      }
       default:
         this.ctx.log.warn('message of this type is not for a planner', {type: message.type});
     }
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -5,13 +5,17 @@
 import {
   mayTake,
   NEW_STANDING,
+  nextLimit,
   nextStanding,
+  NO_LIMIT,
   pauseLeftMs,
   type EngineCandidate,
+  type LimitWord,
   type MayTake,
   type ReplicaStanding,
   type RouteCandidate,
   type StandingEvent,
+  type StatedLimit,
 } from '@jasminepost/policy';
 import type {HeldModel, ReplicaEntry, WeightCopies} from '@jasminepost/serving';
 
@@ -37,6 +41,7 @@
   serviceMs = INITIAL_SERVICE_MS;
   prefillMs = INITIAL_PREFILL_MS;
   private standing: ReplicaStanding = NEW_STANDING;
+  private statedLimit: StatedLimit = NO_LIMIT;
   private isDisplaced = false;
   private account: EngineStateMessage | undefined;
   private load: EngineLoadMessage | undefined;
@@ -115,6 +120,21 @@
     return mayTake(this.standing, nowMs);
   }
 
+  /** Most requests a second that it takes from all gateways. */
+  get limit(): StatedLimit {
+    return this.statedLimit;
+  }
+
+  /** Takes in what an answer to a request that was sent at `sentMs` says of its limit. */
+  noteLimit(word: LimitWord, sentMs: number, nowMs: number): void {
+    this.statedLimit = nextLimit(this.statedLimit, word, sentMs, nowMs);
+  }
+
+  /** Limit that its steward has read, 0 for none; undefined while no steward tells of this start. */
+  get stewardLimitPerS(): number | undefined {
+    return this.stewardAccount()?.limitPerS;
+  }
+
   /** Milliseconds until it takes requests again; 0 when it has not asked for a pause. */
   pauseLeftMs(nowMs: number): number {
     return pauseLeftMs(this.standing, nowMs);
--- a/apps/gateway/src/lib/steward_links.ts
+++ b/apps/gateway/src/lib/steward_links.ts
@@ -47,6 +47,8 @@
   isEngine(service: string): boolean;
   /** A steward has told of the loads of its replica. */
   onAccount(host: string, account: LoadAccount): void;
+  /** A steward has told, or tells no more, of the state of a replica. */
+  onState(replica: Replica): void;
   /** What may be chosen has changed. */
   onChanged(): void;
 }
@@ -196,7 +198,10 @@
 
   private setState(link: StewardLink, state: EngineStateMessage | undefined): void {
     link.state = state;
-    for (const replica of link.replicas) replica.state = state;
+    for (const replica of link.replicas) {
+      replica.state = state;
+      this.ctx.onState(replica);
+    }
     this.ctx.onChanged();
   }
 
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -20,16 +20,19 @@
 import {CrashWatch} from './lib/crash_watch.ts';
 import {DemandMeter} from './lib/demand_meter.ts';
 import {EngineLine} from './lib/engine_line.ts';
+import {EnginePlacer} from './lib/engine_placer.ts';
 import {FleetFeed} from './lib/fleet_feed.ts';
 import type {GatewayContext} from './lib/gateway_context.ts';
 import {GatewayCount} from './lib/gateway_count.ts';
 import {createGatewayMetrics} from './lib/gateway_metrics.ts';
 import {GracefulStop} from './lib/graceful_stop.ts';
+import {LimitDesk} from './lib/limit_desk.ts';
 import {PlannerRole} from './lib/planner_role.ts';
 import {PrefillEstimator} from './lib/prefill_estimator.ts';
 import {serveReadiness} from './lib/readiness_server.ts';
 import {ReplicaTable} from './lib/replica_table.ts';
 import {RetryBudgets} from './lib/retry_budgets.ts';
+import {ServiceLine} from './lib/service_line.ts';
 import {StewardLinks} from './lib/steward_links.ts';
 import {TrialPermit} from './lib/trial_permit.ts';
 import type {GatewaySettings} from './settings.ts';
@@ -45,7 +48,7 @@
   }
   const clock = new SystemClock();
   const log = createLogger('gateway', own.id, settings.logLevel);
-  const metrics = createGatewayMetrics(() => line.length);
+  const metrics = createGatewayMetrics(() => line.length + services.length);
   const store = new StoreClient(own.store, metrics.storeCalls, (era, before) => {
     log.warn('store came back from a copy', {era, before, plans: planner.isRelay});
     feed.onNewEra();
@@ -71,11 +74,15 @@
     faults: metrics.linkFaults,
     isEngine: service => engineOf(service) !== undefined,
     onAccount: (host, account) => planner.takeAccount(host, account),
+    onState: replica => limits.onSteward(replica),
     onChanged: () => line.wake(),
   });
   const table = new ReplicaTable(clock, log, {
     onAdded: replica => links.addEngine(replica),
-    onRemoved: replica => links.remove(replica),
+    onRemoved: replica => {
+      links.remove(replica);
+      limits.forget(replica);
+    },
     onChanged: () => line.wake(),
   });
   const permit = new TrialPermit(store, own.id, own.minLeaseMs, log);
@@ -101,18 +108,40 @@
   });
   const estimator = new PrefillEstimator();
   const demand = new DemandMeter(estimator);
-  const line: EngineLine = new EngineLine({
+  const limits: LimitDesk = new LimitDesk({
+    clock,
+    log,
+    permits: metrics.permits,
+    replicas: () => table.replicas.values(),
+    gateways: () => gateways(),
+    ask: message => planner.askPermits(message),
+    announce: message => planner.announceLimits(message),
+    onChanged: () => {
+      line.wake();
+      services.wake();
+    },
+  });
+  const placer = new EnginePlacer({
     clock,
     zone: own.zone,
     table,
+    limits,
+    estimator,
+    engineOf,
+    canLoadAdapter: replica => links.canLoadAdapter(replica),
+    wishAdapter: (replica, model, adapter) => links.wishAdapter(replica, model, adapter),
+  });
+  const line: EngineLine = new EngineLine({
+    clock,
+    placer,
     estimator,
     demand,
     engineOf,
     isClosing: () => stop.closing,
-    canLoadAdapter: replica => links.canLoadAdapter(replica),
+    tryPermit: replica => limits.tryTake(replica),
     showInterest: replica => links.showInterest(replica),
-    wishAdapter: (replica, model, adapter) => links.wishAdapter(replica, model, adapter),
   });
+  const services = new ServiceLine(() => ctx);
   const {retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs} = own.bounds;
   const startedMs = own.isFirstStart ? Number.NEGATIVE_INFINITY : clock.monotonicMs();
   const budgets = new RetryBudgets({ratio, slack, windowMs}, startedMs);
@@ -131,6 +160,8 @@
     table,
     estimator,
     line,
+    services,
+    limits,
     crashes,
     deadlines: new DeadlineHabit(),
     engineOf,
@@ -163,6 +194,9 @@
     takeDemand: () => demand.take(line.waitingByModel()),
     crashNews: () => crashes.list(),
     onCrashNews: message => crashes.take(message),
+    limitNews: () => limits.news(),
+    onLimitNews: message => limits.onNews(message),
+    onPermits: message => limits.onGrant(message),
     onStoreChanges: message => feed.takeRelayed(message),
   });
   const feed: FleetFeed = new FleetFeed(store, log, {
@@ -201,6 +235,7 @@
     feed.dispose();
     links.dispose();
     line.dispose();
+    services.dispose();
     crashes.dispose();
     share.dispose();
     table.dispose();
--- a/apps/steward/src/lib/engine_watch.ts
+++ b/apps/steward/src/lib/engine_watch.ts
@@ -26,6 +26,7 @@
   type: 'engine_state',
   up: false,
   leaving: false,
+  limitPerS: 0,
   bornMs: 0,
   models: [],
   moving: '',
@@ -123,6 +124,7 @@
       type: 'engine_state',
       up: report !== undefined,
       leaving: report?.leaving === true,
+      limitPerS: report?.limitPerS ?? 0,
       bornMs: report?.bornMs ?? 0,
       models: (report?.models ?? [])
         .filter(model => model.name !== unloading)
--- a/features/support/holder_history.ts
+++ b/features/support/holder_history.ts
@@ -98,6 +98,7 @@
 function accountOf(made: {up: boolean; born: number; models: string[]}): EngineStateMessage {
   return {
     type: 'engine_state',
+    limitPerS: 0,
     leaving: false,
     up: made.up,
     bornMs: made.born,
--- a/features/support/load_telling.ts
+++ b/features/support/load_telling.ts
@@ -64,6 +64,7 @@
 function reportAt(nowMs: number): EngineReport {
   return {
     leaving: false,
+    limitPerS: undefined,
     bornMs: 1,
     models: [],
     busy: false,
--- a/features/support/order_history.ts
+++ b/features/support/order_history.ts
@@ -37,6 +37,7 @@
   report(): EngineReport {
     return {
       leaving: false,
+      limitPerS: undefined,
       bornMs: 1,
       models: [...this.models].map(([name, adapters]) => ({name, adapters: [...adapters]})),
       busy: this.busy,
--- a/features/support/state_telling.ts
+++ b/features/support/state_telling.ts
@@ -25,6 +25,7 @@
 );
 const state: fc.Arbitrary<EngineStateMessage> = fc.record({
   type: fc.constant('engine_state' as const),
+  limitPerS: fc.constantFrom(0, 0.05, 1.5),
   up: fc.boolean(),
   leaving: fc.boolean(),
   bornMs: fc.nat({max: 2}),
@@ -65,6 +66,7 @@
   const held = ['m0', 'm1', 'm2'].map(model => `long-model-name-${model}`);
   const before: EngineStateMessage = {
     type: 'engine_state',
+    limitPerS: 0,
     up: true,
     leaving: false,
     bornMs: 1_771_346_763_363,
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,4 +1,5 @@
 export {parseCrashNews, type CrashNewsMessage} from './lib/crash_news.ts';
+export type {LimitNewsMessage, PermitAskMessage, PermitGrantMessage} from './lib/limit_messages.ts';
 export {changeBetween, withChange} from './lib/engine_change.ts';
 export {FrameDecoder, encodeFrame, MAX_FRAME_BYTES} from './lib/frame_codec.ts';
 export {HelloGuard} from './lib/hello.ts';
--- a/packages/mesh/src/lib/engine_change.ts
+++ b/packages/mesh/src/lib/engine_change.ts
@@ -5,6 +5,7 @@
 const WHOLE_FIELDS = [
   'up',
   'leaving',
+  'limitPerS',
   'bornMs',
   'moving',
   'inMemory',
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -9,6 +9,7 @@
   type Result,
 } from '@jasminepost/core';
 import {crashNews} from './crash_news.ts';
+import {limitNews, permitAsk, permitGrant} from './limit_messages.ts';
 
 const MAX_NAME = 256;
 const name = z.string().min(1).max(MAX_NAME);
@@ -177,6 +178,8 @@
   up: z.boolean(),
   /** True when the replica says that it leaves. */
   leaving: z.boolean(),
+  /** Most requests a second that the replica takes; 0 when it names no limit. */
+  limitPerS: z.number().nonnegative(),
   /** Start of the replica's incarnation, in milliseconds since the Unix epoch. */
   bornMs: z.number(),
   models: z.array(z.object({name, adapters: z.array(name).max(4096)})).max(4096),
@@ -306,6 +309,9 @@
   loadInterest,
   placement,
   modelDemand,
+  limitNews,
+  permitAsk,
+  permitGrant,
 ]);
 
 /** @public */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,7 @@
 export {Circuit} from './lib/circuit.ts';
 export {
   chooseReplica,
+  isCrowded,
   type RouteCandidate,
   type RouteChoice,
   type RouteRequest,
@@ -76,3 +77,6 @@
   type ReplicaStanding,
   type StandingEvent,
 } from './lib/replica_standing.ts';
+export {PermitAccount, type PermitQuestion} from './lib/permit_account.ts';
+export {PermitDealer, type PermitAnswer} from './lib/permit_dealer.ts';
+export {NO_LIMIT, nextLimit, type LimitWord, type StatedLimit} from './lib/stated_limit.ts';
--- /dev/null
+++ b/packages/policy/src/lib/permit_dealer.ts
@@ -0,0 +1,66 @@
+/** Deals the requests that replicas with a limit take, one permit a request, to all gateways. */
+
+/** How far ahead permits are dealt, in milliseconds. @internal */
+export const PERMIT_HORIZON_MS = 1000;
+/** A permit may be used so long after its time, in milliseconds. @internal */
+export const PERMIT_VALID_MS = 300;
+/** Permits that nobody asked for in this time, in milliseconds, may still be dealt. */
+const DEPTH_MS = 250;
+/** Replicas that nobody has asked for so long are forgotten, in milliseconds. */
+const IDLE_MS = 60_000;
+
+/** @public */
+export interface PermitAnswer {
+  /** Time until each permit may be used, in milliseconds. */
+  readonly permitsInMs: readonly number[];
+  /** Time until the next permit that nobody has yet, in milliseconds. */
+  readonly nextInMs: number;
+}
+
+/**
+ * Spaces the permits of each replica evenly. Answers many gateways before one replica in need: a
+ * share for each of them would be less than one request, and the sum of what they round up too much.
+ *
+ * @public
+ */
+export class PermitDealer {
+  /** Time of the next free permit of each replica. */
+  private readonly nextMs = new Map<string, number>();
+  private readonly earliestMs: number;
+
+  /** @param beganMs - When this dealer took over; what the one before has dealt lapses first. */
+  constructor(beganMs: number) {
+    this.earliestMs = beganMs + PERMIT_HORIZON_MS + PERMIT_VALID_MS;
+  }
+
+  /**
+   * Deals up to `count` permits for a replica.
+   *
+   * @param replica - One start of a replica.
+   * @param perS - Requests a second that it takes.
+   * @example
+   * const {permitsInMs} = dealer.deal('i-7f3a@1700000000000', 1.5, 1, clock.monotonicMs());
+   */
+  deal(replica: string, perS: number, count: number, nowMs: number): PermitAnswer {
+    const gapMs = 1000 / perS;
+    // The first permit comes one gap after the first question: nothing is known of the time before.
+    const known = this.nextMs.get(replica) ?? nowMs + gapMs;
+    // Less once the replica takes more than it did when the last one was dealt.
+    const latestMs = nowMs + PERMIT_HORIZON_MS + gapMs;
+    let nextMs = Math.max(Math.min(known, latestMs), nowMs - DEPTH_MS, this.earliestMs);
+    const permitsInMs: number[] = [];
+    while (permitsInMs.length < count && nextMs <= nowMs + PERMIT_HORIZON_MS) {
+      permitsInMs.push(Math.max(0, nextMs - nowMs));
+      nextMs += gapMs;
+    }
+    this.nextMs.set(replica, nextMs);
+    this.forgetIdle(nowMs);
+    return {permitsInMs, nextInMs: Math.max(0, nextMs - nowMs)};
+  }
+
+  private forgetIdle(nowMs: number): void {
+    for (const [replica, nextMs] of this.nextMs) {
+      if (nextMs < nowMs - IDLE_MS) this.nextMs.delete(replica);
+    }
+  }
+}
--- a/packages/policy/src/lib/routing.ts
+++ b/packages/policy/src/lib/routing.ts
@@ -86,6 +86,11 @@
   return {kind: 'chosen', index: best, affinity: best === preferred};
 }
 
+/** True when a request to a replica would have to wait for a slot there. @public */
+export function isCrowded(candidate: RouteCandidate, req: RouteRequest): boolean {
+  return expectedOccupancy(candidate, req) >= candidate.slots;
+}
+
 /** Leaves out replicas with an open circuit, unless no other is left. */
 function usableIndexes(candidates: readonly RouteCandidate[], req: RouteRequest): number[] {
   const closed: number[] = [];
--- a/packages/serving/src/lib/replica_entry.ts
+++ b/packages/serving/src/lib/replica_entry.ts
@@ -34,6 +34,8 @@
   readonly bornMs: number;
   /** True when the replica says that it leaves. */
   readonly leaving: boolean;
+  /** Most requests a second that the replica takes; undefined when it names none. */
+  readonly limitPerS: number | undefined;
   readonly models: readonly HeldModel[];
   /** True while a model is being loaded or unloaded. */
   readonly busy: boolean;
