--- a/apps/gateway/src/lib/permit_office.ts
+++ b/apps/gateway/src/lib/permit_office.ts
@@ -8,10 +8,14 @@
   private term = 0;
   private dealer: PermitDealer | undefined;
 
-  /** @param actingTerm - Term in which this gateway plans now; 0 while it does not. */
+  /**
+   * @param actingTerm - Term in which this gateway plans now; 0 while it does not.
+   * @param isConfirmed - True while no other gateway can have been appointed.
+   */
   constructor(
     private readonly clock: Clock,
     private readonly actingTerm: () => number,
+    private readonly isConfirmed: () => boolean,
   ) {}
 
   /** Deals permits; undefined while another gateway, or none, plans. */
@@ -23,7 +27,8 @@
       this.dealer = term === 0 ? undefined : new PermitDealer(nowMs);
     }
     if (this.dealer === undefined) return undefined;
-    const {permitsInMs, nextInMs} = this.dealer.deal(replica, perS, count, nowMs);
+    const isConfirmed = this.isConfirmed();
+    const {permitsInMs, nextInMs} = this.dealer.deal(replica, perS, count, nowMs, isConfirmed);
     return {type: 'permit_grant', replica, number, permitsInMs: [...permitsInMs], nextInMs};
   }
 }
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -83,7 +83,11 @@
       lease: this.lease,
       heldByOther: () => this.holderKnown && !this.link.isOwnRole,
     });
-    this.office = new PermitOffice(clock, () => this.desk.actingTerm());
+    this.office = new PermitOffice(
+      clock,
+      () => this.desk.actingTerm(),
+      () => this.lease.heldTerm() > 0,
+    );
     this.link = new PlannerLink(self, address, guard, log, faults, {
       takeDemand: () => ctx.takeDemand(),
       onOwnDemand: message => this.desk.takeDemand(self.id, message),
--- a/features/stated_limits.feature
+++ b/features/stated_limits.feature
@@ -97,3 +97,9 @@
     And the first replica starts again under its id
     And callers send 10 orders a second for 1000 ms, to each gateway in turn
     Then the last 10 answers are whole
+
+  Scenario: any number of gateways, while those that deal permits come and go
+    Then in 400 drawn series no 4 s have more requests than a limit allows
+
+  Scenario: any number of gateways that ask one dealer all the while
+    Then in 200 drawn series at least half of what a limit allows is sent
--- a/features/steps/stated_limit_steps.ts
+++ b/features/steps/stated_limit_steps.ts
@@ -1,8 +1,10 @@
 /** Steps about replicas that name the most requests a second that they take. */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import fc from 'fast-check';
 import {sleep} from '@jasminepost/core';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {permitSeries, playPermits} from '../support/permit_history.ts';
 import type {UsersFleet} from '../support/users_fleet.ts';
 import {of, replicas} from '../support/users_notes.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -180,3 +182,29 @@
     if (status === 503) assert.ok(Number(headers['retry-after']) > 0);
   }
 });
+
+Then(
+  'in {int} drawn series no 4 s have more requests than a limit allows',
+  {timeout: 60_000},
+  (numRuns: number) => {
+    fc.assert(
+      fc.property(permitSeries, series => playPermits(series).mostShare <= 1),
+      {numRuns, seed: 23},
+    );
+  },
+);
+
+Then(
+  'in {int} drawn series at least half of what a limit allows is sent',
+  {timeout: 60_000},
+  (numRuns: number) => {
+    fc.assert(
+      fc.property(permitSeries, drawn => {
+        const series = {...drawn, changes: [], slowMs: drawn.wayMs};
+        const {sent} = playPermits(series);
+        return sent >= Math.floor((0.5 * series.perS * series.durationMs) / 1000);
+      }),
+      {numRuns, seed: 23},
+    );
+  },
+);
--- a/packages/policy/src/lib/permit_dealer.ts
+++ b/packages/policy/src/lib/permit_dealer.ts
@@ -6,6 +6,8 @@
 export const PERMIT_VALID_MS = 300;
 /** Permits that nobody asked for in this time, in milliseconds, may still be dealt. */
 const DEPTH_MS = 250;
+/** Part of the limit that is dealt while another dealer may have been appointed. */
+const UNCONFIRMED_SHARE = 0.25;
 /** Replicas that nobody has asked for so long are forgotten, in milliseconds. */
 const IDLE_MS = 60_000;
 
@@ -38,11 +40,18 @@
    *
    * @param replica - One start of a replica.
    * @param perS - Requests a second that it takes.
+   * @param isConfirmed - False when another dealer may have been appointed since.
    * @example
-   * const {permitsInMs} = dealer.deal('i-7f3a@1700000000000', 1.5, 1, clock.monotonicMs());
+   * const {permitsInMs} = dealer.deal('i-7f3a@1700000000000', 1.5, 1, clock.monotonicMs(), true);
    */
-  deal(replica: string, perS: number, count: number, nowMs: number): PermitAnswer {
-    const gapMs = 1000 / perS;
+  deal(
+    replica: string,
+    perS: number,
+    count: number,
+    nowMs: number,
+    isConfirmed: boolean,
+  ): PermitAnswer {
+    const gapMs = 1000 / (isConfirmed ? perS : UNCONFIRMED_SHARE * perS);
     // The first permit comes one gap after the first question: nothing is known of the time before.
     const known = this.nextMs.get(replica) ?? nowMs + gapMs;
     // Less once the replica takes more than it did when the last one was dealt.
