--- /dev/null
+++ b/scripts/failure_formatter.ts
@@ -0,0 +1,32 @@
+/** Prints a failed scenario when it fails: a run that is cut short still tells what failed. */
+import {Formatter, Status, type IFormatterOptions} from '@cucumber/cucumber';
+
+const MAX_MESSAGE_LINES = 6;
+
+/** What cucumber tells of a scenario that has ended. */
+interface Envelope {
+  readonly testCaseFinished?: {readonly testCaseStartedId: string};
+}
+
+class FailureFormatter extends Formatter {
+  constructor(options: IFormatterOptions) {
+    super(options);
+    options.eventBroadcaster.on('envelope', ({testCaseFinished}: Envelope) => {
+      if (testCaseFinished !== undefined) this.onEnd(testCaseFinished.testCaseStartedId);
+    });
+  }
+
+  private onEnd(id: string): void {
+    const {pickle, worstTestStepResult} = this.eventDataCollector.getTestCaseAttempt(id);
+    const {status, message = ''} = worstTestStepResult;
+    if (String(status) === String(Status.PASSED)) {
+      this.log('.');
+      return;
+    }
+    const lines = message.split('\n').slice(0, MAX_MESSAGE_LINES).join('\n  ');
+    this.log(`\n${status} ${pickle.uri}: ${pickle.name}\n  ${lines}\n`);
+  }
+}
+
+// Cucumber looks for the default export.
+export {FailureFormatter as default};
--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -9,6 +9,7 @@
 import {readKnownRed} from './known_red.ts';
 
 const CUCUMBER = 'node_modules/@cucumber/cucumber/bin/cucumber.js';
+const FORMATTER = './scripts/failure_formatter.ts';
 const PARALLEL = '3';
 
 interface Step {
@@ -33,7 +34,7 @@
     '--parallel',
     PARALLEL,
     '--format',
-    'progress',
+    FORMATTER,
     '--format',
     `json:${report}`,
   ];
@@ -49,6 +50,7 @@
   const features = await runCucumber(join(folder, 'report.json'), paths);
   rmSync(folder, {recursive: true});
   const knownRed = readKnownRed();
+  process.stdout.write('\n');
   let passed = 0;
   let failed = 0;
   let red = 0;
