--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -248,4 +248,11 @@
     replace: 'false',
     features: ['features/endless_answers.feature', '--name', 'goes on elsewhere'],
   },
+  {
+    name: 'limits are not read',
+    file: 'apps/gateway/src/lib/answer_notes.ts',
+    find: 'ctx.limits.onAnswer(replica, head.limitPerS, sentMs)',
+    replace: 'ctx.limits.onAnswer(replica, undefined, sentMs)',
+    features: ['features/stated_limits.feature', '--name', 'all service replicas'],
+  },
 ];
