Tell a reset from the end of an answer that has no length

What callers saw: an answer that broke off halfway, told as whole.

Cause: when a reset arrives together with the last bytes, libuv reports an end of input and not the reset (it sees the hang-up after a partial read), so that undici ends the answer in order. Only the socket's error told the gateway of a reset until now, and there is none. The loss needs a process that reads late, so load or a pause shows it.

In the product's own service calls the same answer counted as completed.

Change: ResetWatch, for both: at the end of input an empty write shows whether the connection was reset, and the end of the answer waits for that. The test's caller does the same.

A soak kind for replicas that name a limit comes with this, for seeds from 20000 on.

--- /dev/null
+++ b/features/steps/reset_steps.ts
@@ -0,0 +1,59 @@
+/** Steps about answers without a length, and whether their ends are orderly. */
+import assert from 'node:assert/strict';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {Then, When} from '@cucumber/cucumber';
+import {resetNow, sleep, type Verdict} from '@jasminepost/core';
+import {callService} from '@jasminepost/service';
+import {of} from '../support/users_notes.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const ANSWER = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of it';
+
+const verdicts = new WeakMap<FleetWorld, Verdict>();
+
+When(
+  'a caller sends an order and the gateway stands still from {int} ms to {int} ms',
+  async function (this: FleetWorld, fromMs: number, toMs: number) {
+    const found = of(this);
+    const [{process}] = found.fleet.gateways;
+    const answer = found.fleet.call({path: '/order/7'});
+    await sleep(fromMs);
+    process.signal('SIGSTOP');
+    await sleep(toMs - fromMs);
+    process.signal('SIGCONT');
+    found.answers.push(await answer);
+  },
+);
+
+When(
+  /^a service is called whose answer (has ended|was reset at its last bytes)$/,
+  async function (this: FleetWorld, how: string) {
+    const end = (socket: Socket) => (how === 'has ended' ? socket.end() : resetNow(socket));
+    const server = createServer(socket => {
+      socket.once('data', () => {
+        socket.write(ANSWER);
+        // The caller reads in this process, and so not before both have happened.
+        end(socket);
+      });
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const verdict = await callService({
+      baseUrl: `http://127.0.0.1:${port}`,
+      method: 'GET',
+      path: '/',
+      headers: {},
+      body: new Uint8Array(),
+      freshConnection: true,
+      signal: new AbortController().signal,
+      onHead: () => undefined,
+      onData: () => Promise.resolve(),
+    });
+    verdicts.set(this, verdict);
+    server.close();
+  },
+);
+
+Then(/^the call counts as (\w+)$/, function (this: FleetWorld, kind: string) {
+  assert.equal(verdicts.get(this)?.kind, kind);
+});
--- a/features/steps/soak_steps.ts
+++ b/features/steps/soak_steps.ts
@@ -16,6 +16,6 @@
 
 Then('no promise was broken', function (this: FleetWorld) {
   const {broken, answered, calls, logs} = reports.get(this)!;
-  assert.deepEqual(broken, [], logs.slice(-5000));
+  assert.deepEqual(broken, [], `${broken.join('\n')}\n${logs.slice(-5000)}`);
   assert.ok(answered > calls / 4, `${answered} of ${calls}`);
 });
--- a/features/steps/stated_limit_steps.ts
+++ b/features/steps/stated_limit_steps.ts
@@ -3,18 +3,13 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
 import {sleep} from '@jasminepost/core';
+import {mostOverLimit} from '../../stand_ins/users_platform/limit_window.ts';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
 import {permitSeries, playPermits} from '../support/permit_history.ts';
 import type {UsersFleet} from '../support/users_fleet.ts';
 import {of, replicas} from '../support/users_notes.ts';
 import type {FleetWorld} from '../support/world.ts';
 
-const WINDOW_MS = 4000;
-/** Requests in a window: so many times what the limit allows, and some more. */
-const OVERSHOOT = 1.5;
-const SLACK = 5;
-/** Gateways have heard of a limit by then, and what they had sent before has arrived. */
-const HEARD_MS = 1000;
 /** The planner's role is taken by then: gateways hear of each other by way of its holder. */
 const ROLE_MS = 2400;
 /** When something happens to a process, and how long it lasts. */
@@ -33,12 +28,8 @@
 }
 
 function assertWithinLimit({limit, arrivalsMs}: UsersReplica, sinceMs: number): void {
-  const allowed = OVERSHOOT * Number(limit) * (WINDOW_MS / 1000) + SLACK;
-  const counted = arrivalsMs.filter(atMs => atMs > sinceMs + HEARD_MS);
-  for (const fromMs of counted) {
-    const {length} = counted.filter(atMs => atMs >= fromMs && atMs < fromMs + WINDOW_MS);
-    assert.ok(length <= allowed, `${length} requests in a window, allowed ${allowed}`);
-  }
+  const over = mostOverLimit(arrivalsMs, Number(limit), sinceMs);
+  assert.ok(over <= 0, `${over} requests more in a window than are allowed`);
 }
 
 /** Sends calls at a steady rate, each path in turn, to each gateway that runs in turn. */
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -1,6 +1,7 @@
 /** Gateways and stewards as processes, between stand-ins of the users' platform and replicas. */
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {request, type Agent} from 'node:http';
+import type {Socket} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {MetadataStore} from '../../stand_ins/users_platform/metadata_store.ts';
@@ -215,9 +216,14 @@
       req.on('response', res => {
         const {statusCode: status = 0, headers} = res;
         res.on('data', (chunk: Buffer) => (body += chunk.toString('utf8')));
-        res.on('end', () => finish({status, headers, cut: !res.complete}));
+        res.on('end', () => {
+          void resetAtEnd(res.socket).then(wasReset =>
+            finish({status, headers, cut: !res.complete || wasReset}),
+          );
+        });
         res.on('error', () => finish({status, headers, cut: true}));
       });
+      req.on('socket', watchEnd);
       req.on('error', () => finish({status: 0, headers: {}, cut: true}));
       if (call.leaveAfterMs !== undefined) setTimeout(() => req.destroy(), call.leaveAfterMs);
       req.end(method === 'GET' ? undefined : (call.body ?? 'a body'));
@@ -311,6 +317,25 @@
   }
 }
 
+/** Whether the end of a connection that looked orderly was a reset; see `ResetWatch`. */
+const ends = new WeakMap<Socket, Promise<boolean>>();
+const watched = new WeakSet<Socket>();
+
+function watchEnd(socket: Socket): void {
+  if (watched.has(socket)) return;
+  watched.add(socket);
+  socket.prependListener('end', () => {
+    const wasReset = new Promise<boolean>(resolve => {
+      socket.write('', error => resolve(error instanceof Error));
+    });
+    ends.set(socket, wasReset);
+  });
+}
+
+function resetAtEnd(socket: Socket): Promise<boolean> {
+  return ends.get(socket) ?? Promise.resolve(false);
+}
+
 /** A settings file as the platform writes it. */
 export function usersSettings(node: string, ip: string, more: object): Record<string, unknown> {
   return {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,4 +42,5 @@
 export type {RequestClass, UpstreamKind} from './lib/vocabulary.ts';
 export {resetNow} from './lib/reset_now.ts';
 export {listenOn} from './lib/listen_on.ts';
+export {ResetWatch} from './lib/reset_watch.ts';
 export {UnreadHeaders} from './lib/unread_headers.ts';
--- a/packages/service/src/lib/service_call.ts
+++ b/packages/service/src/lib/service_call.ts
@@ -1,6 +1,13 @@
 /** Runs one call on a plain service and says what became of it. */
 import {Agent, request, type Dispatcher} from 'undici';
-import {completed, mayHaveRun, notRun, verdictOfSendFailure, type Verdict} from '@jasminepost/core';
+import {
+  completed,
+  mayHaveRun,
+  notRun,
+  ResetWatch,
+  verdictOfSendFailure,
+  type Verdict,
+} from '@jasminepost/core';
 
 /** Header by which a service says that a refused call had no effect. */
 const NOT_RUN_HEADER = 'x-not-run';
@@ -18,12 +25,10 @@
   'upgrade',
 ]);
 
-const sharedAgent = new Agent({
-  connections: null,
-  connect: {timeout: 1000},
-  headersTimeout: 0,
-  bodyTimeout: 0,
-});
+const CONNECT_TIMEOUT_MS = 1000;
+
+const resets = new ResetWatch();
+const sharedAgent = openAgent(null);
 
 /** @public */
 export interface ServiceCallInput {
@@ -47,17 +52,20 @@
  * @public
  */
 export async function callService(input: ServiceCallInput): Promise<Verdict> {
-  const agent = input.freshConnection
-    ? new Agent({connections: 1, connect: {timeout: 1000}, headersTimeout: 0, bodyTimeout: 0})
-    : sharedAgent;
+  const agent = input.freshConnection ? openAgent(1) : sharedAgent;
   try {
-    return await run(input, agent);
+    return await run(input, agent.compose(resets.interceptor));
   } finally {
     if (input.freshConnection) void agent.close();
   }
 }
 
-async function run(input: ServiceCallInput, agent: Agent): Promise<Verdict> {
+function openAgent(connections: number | null): Agent {
+  const connect = resets.connector({timeout: CONNECT_TIMEOUT_MS});
+  return new Agent({connections, connect, headersTimeout: 0, bodyTimeout: 0});
+}
+
+async function run(input: ServiceCallInput, agent: Dispatcher): Promise<Verdict> {
   let res: Dispatcher.ResponseData;
   try {
     res = await request(input.baseUrl + input.path, {
--- a/soak/soak_checks.ts
+++ b/soak/soak_checks.ts
@@ -11,16 +11,20 @@
 /** Requests that may reach a replica from one gateway while it wants none. */
 const MAX_UNWANTED = 2;
 const MAX_ADAPTERS = 2;
+/** Requests beyond a limit that a gateway may send before it hears of it, or behind a harmed link. */
+const MAX_OVER_LIMIT = 8;
 
 /**
  * Every broken promise, one line each.
  *
  * @param starts - Gateways that were started again or stood still.
+ * @param harms - Links to replicas that were cut or slow.
  */
 export function findBroken(
   fleet: UsersFleet,
   calls: readonly SoakCall[],
   starts: number,
+  harms: number,
 ): string[] {
   const runs = new Map<string, SeenRequest[]>();
   for (const run of [...fleet.services, ...fleet.engines].flatMap(replica => replica.runs)) {
@@ -39,6 +43,9 @@
   for (const {id, mostUnwanted: unwanted} of [...fleet.services, ...fleet.engines]) {
     if (unwanted > mostUnwanted) broken.push(`${id}: ${unwanted} requests that it did not want`);
   }
+  for (const {id, mostOverLimit: over} of [...fleet.services, ...fleet.engines]) {
+    if (over > MAX_OVER_LIMIT * (starts + harms)) broken.push(`${id}: ${over} beyond its limit`);
+  }
   for (const engine of fleet.engines) {
     const fences = engine.orders.map(order => order.fencingToken);
     if (fences.some((fence, i) => i > 0 && fence <= fences[i - 1])) {
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -24,6 +24,7 @@
   | 'replica drains'
   | 'replica says it leaves'
   | 'replica asks for a pause'
+  | 'replica names a limit'
   | 'configuration changes';
 
 export interface Fault {
@@ -58,6 +59,8 @@
   'replica asks for a pause',
 ];
 const LATER_FROM_SEED = 10_000;
+const NEWEST_KINDS: readonly FaultKind[] = ['replica names a limit'];
+const NEWEST_FROM_SEED = 20_000;
 const MISBEHAVIOURS: readonly ReplicaFault[] = [
   'sheds',
   'sheds without saying so',
@@ -78,6 +81,10 @@
 /** Time away before the store comes back, and until others have written again. */
 const STORE_AWAY_MS = 150;
 const WRITTEN_AGAIN_MS = 400;
+/** A replica is in need for this long, and takes so many requests a second at most. */
+const LIMITED_FOR_MS = 5000;
+const MIN_LIMIT_PER_S = 0.05;
+const MAX_LIMIT_PER_S = 4;
 /** A replica that leaves ends after this. */
 const LEAVES_FOR_MS = 3000;
 /** Time after which the platform starts an ended process again. */
@@ -85,7 +92,9 @@
 
 /** Kinds that a seed draws from. */
 export function kindsOf(seed: number): readonly FaultKind[] {
-  return seed < LATER_FROM_SEED ? KINDS : [...KINDS, ...LATER_KINDS];
+  if (seed < LATER_FROM_SEED) return KINDS;
+  const later = [...KINDS, ...LATER_KINDS];
+  return seed < NEWEST_FROM_SEED ? later : [...later, ...NEWEST_KINDS];
 }
 
 /** Faults that begin within `durationMs`, in the order of their beginnings. */
@@ -154,6 +163,8 @@
       return leave(fleet, choose([...fleet.services, ...fleet.engines], pick));
     case 'replica asks for a pause':
       return pauseReplica(choose([...fleet.services, ...fleet.engines], pick), forMs);
+    case 'replica names a limit':
+      return limitReplica(choose([...fleet.services, ...fleet.engines], pick), pick);
     case 'configuration changes':
       fleet.configure({timeoutMs: 2500 + Math.floor(pick * 1000)});
   }
@@ -244,3 +255,12 @@
   await sleep(forMs);
   replica.endPause();
 }
+
+async function limitReplica(replica: UsersReplica, pick: number): Promise<void> {
+  const perS = MAX_LIMIT_PER_S * ((pick * 7) % 1);
+  const namedMs = performance.now();
+  replica.limit = perS.toFixed(2);
+  await sleep(LIMITED_FOR_MS);
+  replica.limit = undefined;
+  replica.noteOverLimit(Math.max(perS, MIN_LIMIT_PER_S), namedMs);
+}
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -56,7 +56,8 @@
     }
     await load.settle();
     const starts = faults.filter(({kind}) => GATEWAY_FAULTS.includes(kind)).length;
-    const broken = [...overloaded, ...findBroken(fleet, load.calls, starts)];
+    const harms = faults.filter(({kind}) => kind === 'harm replica link').length;
+    const broken = [...overloaded, ...findBroken(fleet, load.calls, starts, harms)];
     const back = recovery.filter(call => call.answer?.status === 200 && !call.answer.cut);
     if (back.length < RECOVERED_SHARE * recovery.length) {
       const rest = recovery.filter(call => !back.includes(call));
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -4,6 +4,7 @@
 import {resetNow, sleep} from '@jasminepost/core';
 import {sendJson} from '../json_server.ts';
 import {writeWithoutEnd, type EndlessAnswer} from './endless_answer.ts';
+import {mostOverLimit} from './limit_window.ts';
 import type {ReplicaFault} from './replica_fault.ts';
 
 export interface SeenRequest {
@@ -49,6 +50,8 @@
   readonly arrivalsMs: number[] = [];
   /** Most requests that came in one pause or after one word of leaving. */
   mostUnwanted = 0;
+  /** Most requests that came in a window beyond what a limit allows. */
+  mostOverLimit = 0;
   /** When it first sent an answer that says that it leaves, or that asks for a pause. */
   toldMs: number | undefined;
   /** Requests that have run. */
@@ -137,6 +140,12 @@
     this.saysLeaving = false;
   }
 
+  /** Notes requests beyond a limit that was named at `namedMs` and held until now. */
+  noteOverLimit(perS: number, namedMs: number): void {
+    const over = mostOverLimit(this.arrivalsMs, perS, namedMs);
+    this.mostOverLimit = Math.max(this.mostOverLimit, over);
+  }
+
   private noteUnwanted(fromMs: number, toMs: number): void {
     const {length} = this.arrivalsMs.filter(atMs => atMs > fromMs && atMs < toMs);
     this.mostUnwanted = Math.max(this.mostUnwanted, length);
