Repeat a late frame also right after its own attempt's next one

Seen once, beside six busy processes: 'frames tampered with: replay a frame late' found {foreign: 3, unknown_attempt: 1} where it looks for sequence_gap. All four late frames were refused, no caller took one. Cause: the frame came 60 chunks later, and on a slow machine its attempt had ended by then, so that it is refused for another reason. Now the same frame is also repeated behind the next one of its attempt, which can only be a gap; the late repeat and the check stay as they were.

--- a/features/support/tamper_proxy.ts
+++ b/features/support/tamper_proxy.ts
@@ -32,6 +32,8 @@
   private readonly nextSeq = new Map<number, number>();
   private chunks = 0;
   private held: Buffer | undefined;
+  /** Attempt in whose next frame the held one is repeated. */
+  private replayIn: number | undefined;
 
   /**
    * @param every - Tampers with each so-many-th chunk.
@@ -85,7 +87,7 @@
     this.chunks += 1;
     this.remember(message);
     if (this.chunks % this.every === 0) this.tamper(client, frame, message);
-    else client.write(frame);
+    else client.write(this.withReplay(frame, message));
   }
 
   private tamper(client: Socket, frame: Buffer, message: AnyFrame): void {
@@ -110,6 +112,7 @@
       case 'replay a frame late':
         client.write(this.held === undefined ? frame : Buffer.concat([frame, this.held]));
         this.held = Buffer.from(frame);
+        this.replayIn = message.attempt;
         return;
       case 'send rubbish':
         client.write(Buffer.concat([frame, Buffer.from([0, 0, 0, 3, 0xff, 0xff, 0xff])]));
@@ -122,6 +125,13 @@
     }
   }
 
+  /** Adds the held frame to the next one of its attempt; later ones may find that attempt ended. */
+  private withReplay(frame: Buffer, {attempt}: AnyFrame): Buffer {
+    if (this.held === undefined || this.replayIn !== attempt) return frame;
+    this.replayIn = undefined;
+    return Buffer.concat([frame, this.held]);
+  }
+
   private remember({attempt = 0, seq = 0, events = []}: AnyFrame): void {
     this.nextSeq.set(attempt, seq + events.length);
     if (this.nextSeq.size > 8) this.nextSeq.delete(this.nextSeq.keys().next().value!);
