Take a failed connect for what it is when watching for resets

Cause: undici hands on no socket (undefined, by its types null) when a connect fails; ResetWatch, new in, called it.

Before: 'a replica that refuses connections' and 'a service call to nobody' failed, with that trace. After: both pass.

--- a/features/resets.feature
+++ b/features/resets.feature
@@ -20,3 +20,14 @@
       | how                         | verdict      |
       | has ended                   | completed    |
       | was reset at its last bytes | may_have_run |
+
+  Scenario: a replica that refuses connections
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    When the first replica refuses connections
+    And a caller sends 12 reads
+    Then every answer is whole
+    And the gateway has not ended
+
+  Scenario: a service call to nobody
+    When a service is called that refuses connections
+    Then the call counts as not_run
--- a/features/steps/reset_steps.ts
+++ b/features/steps/reset_steps.ts
@@ -4,13 +4,28 @@
 import {Then, When} from '@cucumber/cucumber';
 import {resetNow, sleep, type Verdict} from '@jasminepost/core';
 import {callService} from '@jasminepost/service';
-import {of} from '../support/users_notes.ts';
+import {freePort} from '../support/fleet_process.ts';
+import {of, replicas} from '../support/users_notes.ts';
 import type {FleetWorld} from '../support/world.ts';
 
 const ANSWER = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of it';
 
 const verdicts = new WeakMap<FleetWorld, Verdict>();
 
+function callAt(port: number): Promise<Verdict> {
+  return callService({
+    baseUrl: `http://127.0.0.1:${port}`,
+    method: 'GET',
+    path: '/',
+    headers: {},
+    body: new Uint8Array(),
+    freshConnection: true,
+    signal: new AbortController().signal,
+    onHead: () => undefined,
+    onData: () => Promise.resolve(),
+  });
+}
+
 When(
   'a caller sends an order and the gateway stands still from {int} ms to {int} ms',
   async function (this: FleetWorld, fromMs: number, toMs: number) {
@@ -37,23 +52,23 @@
       });
     });
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-    const {port} = server.address() as AddressInfo;
-    const verdict = await callService({
-      baseUrl: `http://127.0.0.1:${port}`,
-      method: 'GET',
-      path: '/',
-      headers: {},
-      body: new Uint8Array(),
-      freshConnection: true,
-      signal: new AbortController().signal,
-      onHead: () => undefined,
-      onData: () => Promise.resolve(),
-    });
-    verdicts.set(this, verdict);
+    verdicts.set(this, await callAt((server.address() as AddressInfo).port));
     server.close();
   },
 );
 
+When('a service is called that refuses connections', async function (this: FleetWorld) {
+  verdicts.set(this, await callAt(await freePort()));
+});
+
+When('the first replica refuses connections', function (this: FleetWorld) {
+  replicas(this)[0].close();
+});
+
+Then('the gateway has not ended', function (this: FleetWorld) {
+  assert.ok(of(this).fleet.gateways[0].process.running);
+});
+
 Then(/^the call counts as (\w+)$/, function (this: FleetWorld, kind: string) {
   assert.equal(verdicts.get(this)?.kind, kind);
 });
--- a/packages/core/src/lib/reset_watch.ts
+++ b/packages/core/src/lib/reset_watch.ts
@@ -1,6 +1,6 @@
 /** Tells a reset from an orderly end of an answer that has no length. */
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Socket} from 'node:net';
+import {Socket} from 'node:net';
 import {buildConnector, DecoratorHandler, type Dispatcher} from 'undici';
 
 /** Outcome of a probe: the error with which the connection ended, if it did not end in order. */
@@ -31,8 +31,9 @@
     const connect = buildConnector(options);
     return (target, callback) => {
       connect(target, (...result: Parameters<buildConnector.Callback>) => {
-        const socket = result[1];
-        if (socket !== null) {
+        const socket: unknown = result[1];
+        // A failed attempt has no socket.
+        if (socket instanceof Socket) {
           this.watch(socket);
           this.onSocket(socket);
         }
