Say once what waits, who is in need and how a limit's header is called

- ServiceMember was LineMember without its generation: LineMember extends it.
- A service request that has to wait asked for permits twice, in the choice and in the line; the choice does.
- The test for a replica in need stood three times in EngineRound.

Types, lint, imports and 84 scenarios of the five features that this touches pass; the whole suite has not run on it yet.

--- a/apps/gateway/src/lib/answer_notes.ts
+++ b/apps/gateway/src/lib/answer_notes.ts
@@ -20,8 +20,7 @@
   if (head.load !== undefined) replica.onStatedLoad(head.load, nowMs);
   // Another replica speaks of itself.
   if (isOfAnother(head, replica)) return;
-  if (head.limitPerS === 'unreadable') ctx.unreadHeaders.note(['server-limit'], replica.id);
-  else ctx.limits.onAnswer(replica, head.limitPerS, sentMs);
+  if (head.limitPerS !== 'unreadable') ctx.limits.onAnswer(replica, head.limitPerS, sentMs);
   if (head.leaving && replica.note({kind: 'said_leaving'}, nowMs)) {
     log.info('replica leaves', {replica: replica.id, inFlight: replica.inFlight});
     line.wake();
--- a/apps/gateway/src/lib/engine_line.ts
+++ b/apps/gateway/src/lib/engine_line.ts
@@ -6,13 +6,13 @@
   mayWait,
   waitingState,
   type EngineCandidate,
-  type Waiting,
 } from '@jasminepost/policy';
 import type {EngineSpec, Generation} from '@jasminepost/serving';
 import type {DemandMeter} from './demand_meter.ts';
 import type {EnginePlacer, Obstacle} from './engine_placer.ts';
 import type {PrefillEstimator} from './prefill_estimator.ts';
 import type {Replica} from './replica.ts';
+import type {ServiceMember} from './service_line.ts';
 
 /** Waiting requests are looked at this often when nothing else happens. */
 const SWEEP_MS = 40;
@@ -28,17 +28,10 @@
 const OVERLOAD_RETURN_MS = 1500;
 
 /** A generation in the line. @internal */
-export interface LineMember extends Waiting {
-  readonly service: string;
+export interface LineMember extends ServiceMember {
   readonly generation: Generation;
   /** True when its target leaves time to load the model first. */
   readonly patient: boolean;
-  /** Replicas that have refused it. */
-  readonly excluded: ReadonlySet<string>;
-  send(replica: Replica, inputs: Readonly<Record<string, unknown>>): void;
-  refuse(reason: string, retryAfterMs: number, inputs: Readonly<Record<string, unknown>>): void;
-  /** Time for which it must reach no replica, because it seems to crash them; 0 when it may. */
-  heldBackMs(): number;
 }
 
 /** @internal */
--- a/apps/gateway/src/lib/service_line.ts
+++ b/apps/gateway/src/lib/service_line.ts
@@ -119,7 +119,6 @@
       member.refuse('leaving', LEAVING_RETURN_MS, {listed});
       return;
     }
-    limits.want(replicas, ahead + 1);
     const waitMs = limits.waitMs(replicas, ahead);
     if (waitingState(member, clock.monotonicMs() + waitMs) === 'hopeless') {
       const retryAfterMs = limits.returnInMs(replicas, ahead);
--- a/packages/policy/src/lib/engine_round.ts
+++ b/packages/policy/src/lib/engine_round.ts
@@ -87,17 +87,16 @@
     this.reserved = Math.ceil(input.storeLoadsAtOnce * RESERVED_SHARE);
     this.storeLoads = input.storeLoads;
     this.models = new Map(input.models.map(model => [model.name, model]));
-    for (const {held, arriving, inMemory, onDisk, capacity} of input.replicas) {
+    for (const replica of input.replicas) {
+      const {held, arriving, inMemory, onDisk} = replica;
       for (const name of new Set([...held, ...inMemory, ...onDisk, arriving])) {
         this.near.set(name, (this.near.get(name) ?? 0) + 1);
       }
       if (arriving !== '' && !held.has(arriving)) this.addCopy(arriving);
-      if (capacity < Number.POSITIVE_INFINITY) continue;
+      if (isInNeed(replica)) continue;
       for (const name of held) this.addCopy(name);
     }
-    for (const replica of input.replicas) {
-      if (replica.capacity < Number.POSITIVE_INFINITY) this.addCarried(replica);
-    }
+    for (const replica of input.replicas.filter(isInNeed)) this.addCarried(replica);
   }
 
   run(): EngineMove[] {
@@ -224,7 +223,7 @@
         victim.loss -
         loadCost(need, source) -
         this.crowding(replica) -
-        (replica.capacity < Number.POSITIVE_INFINITY ? LIMITED_COST : 0) +
+        (isInNeed(replica) ? LIMITED_COST : 0) +
         (this.zoneHas(replica.zone, need.model.name) ? 0 : ZONE_WORTH);
       if (gain <= bestGain) continue;
       bestGain = gain;
@@ -281,6 +280,10 @@
   }
 }
 
+function isInNeed({capacity}: PlanReplica): boolean {
+  return capacity < Number.POSITIVE_INFINITY;
+}
+
 function sourceOf(replica: PlanReplica, model: string): EngineMove['source'] {
   if (replica.inMemory.has(model)) return 'memory';
   return replica.onDisk.has(model) ? 'disk' : 'store';
