Tell which configuration and revision a gateway has, and how far a failed call to the store came

- store lost: told again every 2 s while it lasts, with failures, revision and the time since the store was heard; its error says how many bytes had arrived after how long.
- configuration in force: length and time to take it in.
- Gauges config_version, store_revision, store_unheard_ms, planner_queued_bytes.

--- a/apps/gateway/src/lib/config_holder.ts
+++ b/apps/gateway/src/lib/config_holder.ts
@@ -32,6 +32,7 @@
    * from a copy may give a version out again, with another content.
    */
   take(text: string, {era, revision}: StorePoint): void {
+    const beganMs = performance.now();
     const decoded = decodeConfig(text);
     if (!decoded.ok) {
       const {error} = decoded;
@@ -46,8 +47,14 @@
     this.text = text;
     this.era = era;
     this.onApplied(config);
-    const {length} = config.routes;
-    this.log.info('configuration in force', {version, era, revision, routes: length});
+    this.log.info('configuration in force', {
+      version,
+      era,
+      revision,
+      routes: config.routes.length,
+      chars: text.length,
+      tookMs: Math.round(performance.now() - beganMs),
+    });
   }
 
   /** Undefined for a plain or unknown service. */
--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -37,6 +37,8 @@
 const COPY_GRACE_MS = 4000;
 const RETRY_BASE_MS = 150;
 const RETRY_CAP_MS = 400;
+/** A store that stays away is told of again after this. */
+const TELL_LOST_MS = 2000;
 
 /** @internal */
 export interface FleetFeedEvents {
@@ -69,6 +71,9 @@
   private settledMs = Number.NEGATIVE_INFINITY;
   private relayedMs = Number.NEGATIVE_INFINITY;
   private relayedSettling = false;
+  /** When the store or the planner's gateway told last what the store holds. */
+  private heardMs = performance.now();
+  private toldLostMs = Number.NEGATIVE_INFINITY;
   /** Gateways that the planner's has counted last; 0 before the first word of it. */
   countedGateways = 0;
 
@@ -93,6 +98,16 @@
     return !this.events.isRelay() && performance.now() - this.relayedMs < RELAY_SILENCE_MS;
   }
 
+  /** Revision of the store up to which everything is known here; -1 before the first read. */
+  get knownRevision(): number {
+    return this.revision;
+  }
+
+  /** Time since the store, or the planner's gateway for it, was heard last. */
+  get unheardMs(): number {
+    return performance.now() - this.heardMs;
+  }
+
   start(): void {
     void this.run();
   }
@@ -109,6 +124,7 @@
     if (era !== this.era || this.revision < 0 || since > this.revision || this.events.isRelay())
       return;
     this.relayedMs = performance.now();
+    this.heardMs = this.relayedMs;
     this.relayedSettling = settling;
     this.takeChanges(
       changes.map(({key, revision: at, value}) => ({key, revision: at, value})),
@@ -236,6 +252,7 @@
   }
 
   private onAnswer(): void {
+    this.heardMs = performance.now();
     if (this.connected) return;
     this.connected = true;
     // The first contact has nothing before it that could have lapsed.
@@ -246,7 +263,13 @@
   }
 
   private onFailure(thrown: unknown): void {
-    if (this.connected) this.log.warn('store lost', {error: messageOf(thrown)});
+    const {failures, revision} = this;
+    const nowMs = performance.now();
+    if (this.connected || nowMs - this.toldLostMs > TELL_LOST_MS) {
+      const unheardMs = Math.round(this.unheardMs);
+      this.log.warn('store lost', {error: messageOf(thrown), failures, revision, unheardMs});
+      this.toldLostMs = nowMs;
+    }
     this.connected = false;
   }
 }
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -27,10 +27,29 @@
   readonly waited: Histogram;
 }
 
+/** Values that are read when the metrics are rendered. @internal */
+export interface GatewayReadings {
+  waiting(): number;
+  configVersion(): number;
+  storeRevision(): number;
+  storeUnheardMs(): number;
+  queuedBytes(): number;
+}
+
 /** @internal */
-export function createGatewayMetrics(waitingNow: () => number): GatewayMetrics {
+export function createGatewayMetrics(now: GatewayReadings): GatewayMetrics {
   const registry = new MetricRegistry();
-  registry.gauge('waiting', 'Requests that wait for a replica', waitingNow);
+  registry.gauge('waiting', 'Requests that wait for a replica', () => now.waiting());
+  registry.gauge('config_version', 'Configuration in force, 0 for none', () => now.configVersion());
+  registry.gauge('store_revision', 'Revision of the store that is known', () =>
+    now.storeRevision(),
+  );
+  registry.gauge('store_unheard_ms', 'Time since the store was heard, also by way of others', () =>
+    now.storeUnheardMs(),
+  );
+  registry.gauge('planner_queued_bytes', 'Bytes that the planner has yet to send to gateways', () =>
+    now.queuedBytes(),
+  );
   return {
     registry,
     endings: registry.counter('endings', 'Requests by how they ended', 'ending'),
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -149,6 +149,11 @@
     return this.isRelay ? this.mesh.links.size + 1 : 0;
   }
 
+  /** Bytes that wait to be sent to other gateways. */
+  get queuedBytes(): number {
+    return this.mesh.queuedBytes();
+  }
+
   /** Tells the other gateways what has been read from the store. */
   relay(message: StoreChangesMessage): void {
     if (this.isRelay) this.mesh.broadcast(message);
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -48,7 +48,13 @@
   }
   const clock = new SystemClock();
   const log = createLogger('gateway', own.id, settings.logLevel);
-  const metrics = createGatewayMetrics(() => line.length + services.length);
+  const metrics = createGatewayMetrics({
+    waiting: () => line.length + services.length,
+    configVersion: () => config.version,
+    storeRevision: () => feed.knownRevision,
+    storeUnheardMs: () => feed.unheardMs,
+    queuedBytes: () => planner.queuedBytes,
+  });
   const store = new StoreClient(own.store, metrics.storeCalls, (era, before) => {
     log.warn('store came back from a copy', {era, before, plans: planner.isRelay});
     feed.onNewEra();
--- a/packages/key_value/src/lib/store_http.ts
+++ b/packages/key_value/src/lib/store_http.ts
@@ -94,6 +94,8 @@
 async function callStore(call: StoreHttpCall): Promise<StoreHttpReply> {
   const {name, method, url, body, dispatcher, timeoutMs, signal, onHeaders} = call;
   const timeout = AbortSignal.timeout(timeoutMs);
+  const beganMs = performance.now();
+  let bytes = 0;
   let reply: StoreHttpReply;
   try {
     const res = await request(url, {
@@ -104,11 +106,17 @@
       signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
     });
     onHeaders(res.headers);
-    reply = {status: res.statusCode, text: await res.body.text()};
+    const chunks: Buffer[] = [];
+    for await (const chunk of res.body) {
+      bytes += (chunk as Buffer).length;
+      chunks.push(chunk as Buffer);
+    }
+    reply = {status: res.statusCode, text: Buffer.concat(chunks).toString('utf8')};
   } catch (thrown) {
     const harmless = method === 'GET' || neverSent(thrown);
     const fault = harmless ? 'unavailable' : 'unknown_outcome';
-    throw new PlatformError(fault, `${name} ${url}: ${messageOf(thrown)}`);
+    const progress = `${bytes} bytes after ${Math.round(performance.now() - beganMs)} ms`;
+    throw new PlatformError(fault, `${name} ${url}: ${messageOf(thrown)}, ${progress}`);
   }
   // Both services promise that nothing was done when they answer 429 or 503.
   if (reply.status === 429 || reply.status === 503) {
--- a/packages/mesh/src/lib/mesh_link.ts
+++ b/packages/mesh/src/lib/mesh_link.ts
@@ -50,6 +50,11 @@
     return this.fault === undefined;
   }
 
+  /** Bytes that wait to be sent. */
+  get queuedBytes(): number {
+    return this.socket.writableLength;
+  }
+
   handle(handlers: LinkHandlers): void {
     this.handlers = handlers;
   }
--- a/packages/mesh/src/lib/mesh_server.ts
+++ b/packages/mesh/src/lib/mesh_server.ts
@@ -54,6 +54,13 @@
     return bytes;
   }
 
+  /** Bytes that wait to be sent over all links. */
+  queuedBytes(): number {
+    let bytes = 0;
+    for (const link of this.links) bytes += link.queuedBytes;
+    return bytes;
+  }
+
   /** Stops listening and closes the links after their queued frames. */
   close(): void {
     this.server.close();
