--- /dev/null
+++ b/features/steps/large_configuration_steps.ts
@@ -0,0 +1,148 @@
+/** Steps about configurations that take long to pass over a gateway's link. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
+import {until} from '../support/fleet_process.ts';
+import {UsersFleet} from '../support/users_fleet.ts';
+import {notes, of} from '../support/users_notes.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const BYTES_PER_KB = 1000;
+/** The planner's role has been taken by then. */
+const SETTLE_MS = 2000;
+const CALL_EVERY_MS = 10;
+/** Orders go on for this long after a replica has left. */
+const CALLS_FOR_MS = 5000;
+/** A gateway that never follows is found out by then. */
+const GIVE_UP_MS = 12_000;
+
+/** Times from a change until it was in force at each gateway. */
+const tookMs = new WeakMap<UsersFleet, Promise<number[]>[]>();
+const changedMs = new WeakMap<UsersFleet, number>();
+const leftMs = new WeakMap<UsersFleet, number>();
+
+function newFleet(world: FleetWorld): UsersFleet {
+  const fleet = new UsersFleet();
+  notes.set(world, {fleet, answers: [], pending: Promise.resolve([]), wasUnready: false});
+  return fleet;
+}
+
+/** Times until each gateway serves the route. */
+function timesInForce(fleet: UsersFleet, route: string, sinceMs: number): Promise<number[]> {
+  const times = fleet.gateways.map(async (_gateway, gateway) => {
+    try {
+      await until(`route ${route} at gateway ${gateway}`, GIVE_UP_MS, async () => {
+        const {status} = await fleet.call({path: `/${route}/1`, method: 'GET', gateway});
+        return status === 200 ? true : undefined;
+      });
+    } catch {
+      return Number.POSITIVE_INFINITY;
+    }
+    return performance.now() - sinceMs;
+  });
+  return Promise.all(times);
+}
+
+Given(
+  "a users' fleet of {int} service replicas and {int} gateways, whose links to the store pass {int} bytes a ms",
+  async function (this: FleetWorld, services: number, gateways: number, bytesPerMs: number) {
+    const fleet = newFleet(this);
+    fleet.storeBytesPerMs = bytesPerMs;
+    await fleet.start(services, 0, gateways);
+    await sleep(SETTLE_MS);
+  },
+);
+
+Given(
+  "a users' fleet of {int} service replicas, {int} engines and {int} gateway, with links that can be harmed",
+  async function (this: FleetWorld, services: number, engines: number, gateways: number) {
+    await newFleet(this).start(services, engines, gateways, true);
+    await sleep(SETTLE_MS);
+  },
+);
+
+When(
+  'a configuration of {int} kB adds the route {string}',
+  function (this: FleetWorld, kb: number, extraRoute: string) {
+    const {fleet} = of(this);
+    changedMs.set(fleet, performance.now());
+    fleet.configure({extraRoute, bytes: kb * BYTES_PER_KB});
+  },
+);
+
+When(
+  '{int} configurations of {int} kB add a route each, every {int} ms',
+  async function (this: FleetWorld, count: number, kb: number, everyMs: number) {
+    const {fleet} = of(this);
+    const times: Promise<number[]>[] = [];
+    for (let i = 0; i < count; i++) {
+      const extraRoute = `added-${i}`;
+      fleet.configure({extraRoute, bytes: kb * BYTES_PER_KB});
+      times.push(timesInForce(fleet, extraRoute, performance.now()));
+      await sleep(everyMs);
+    }
+    tookMs.set(fleet, times);
+  },
+);
+
+When('all gateways are killed and start again', async function (this: FleetWorld) {
+  const {fleet} = of(this);
+  await Promise.all(fleet.gateways.map(gateway => gateway.process.kill()));
+  changedMs.set(fleet, performance.now());
+  for (const index of fleet.gateways.keys()) fleet.restartGateway(index);
+});
+
+When('the connections to the store are reset', function (this: FleetWorld) {
+  of(this).fleet.storeLink!.reset();
+});
+
+When('the first replica drains {int} ms later', async function (this: FleetWorld, ms: number) {
+  const {fleet} = of(this);
+  await sleep(ms);
+  fleet.register(fleet.services[0], 'draining');
+  leftMs.set(fleet, performance.now());
+});
+
+When(
+  'the first replica is taken off the list {int} ms later',
+  async function (this: FleetWorld, ms: number) {
+    const {fleet} = of(this);
+    await sleep(ms);
+    fleet.store.remove(`servers/${fleet.services[0].id}`);
+    leftMs.set(fleet, performance.now());
+  },
+);
+
+Then(
+  'the route {string} is in force at every gateway within {int} ms',
+  async function (this: FleetWorld, route: string, withinMs: number) {
+    const {fleet} = of(this);
+    const times = await timesInForce(fleet, route, changedMs.get(fleet)!);
+    assert.ok(Math.max(...times) <= withinMs, `in force after ${times.join(', ')} ms`);
+  },
+);
+
+Then(
+  'each of them was in force at every gateway within {int} ms',
+  async function (this: FleetWorld, withinMs: number) {
+    const times = await Promise.all(tookMs.get(of(this).fleet)!);
+    const told = times.map(found => found.map(Math.round).join(', ')).join('; ');
+    assert.ok(Math.max(...times.flat()) <= withinMs, `in force after ${told} ms`);
+  },
+);
+
+Then(
+  'no order reaches the first replica later than {int} ms after that',
+  async function (this: FleetWorld, lateMs: number) {
+    const {fleet} = of(this);
+    const sinceMs = leftMs.get(fleet)!;
+    while (performance.now() - sinceMs < CALLS_FOR_MS) {
+      for (const gateway of fleet.gateways.keys()) void fleet.call({path: '/order/7', gateway});
+      await sleep(CALL_EVERY_MS);
+    }
+    const [first, second] = fleet.services;
+    const lastMs = Math.max(...first.arrivalsMs) - sinceMs;
+    assert.ok(second.runs.length > 0);
+    assert.ok(lastMs <= lateMs, `an order came after ${Math.round(lastMs)} ms`);
+  },
+);
--- a/features/support/loopback_proxy.ts
+++ b/features/support/loopback_proxy.ts
@@ -5,10 +5,16 @@
 /** `held` passes nothing on in either direction, `one_way` only what callers send. */
 export type LinkState = 'sound' | 'slow' | 'held' | 'one_way';
 
+type Direction = 'request' | 'answer';
+
 /** Delay of each piece on a slow link. */
 const SLOW_MS = 120;
 
 export class LoopbackProxy {
+  /** Bytes that it passes on in a millisecond, over all connections. */
+  bytesPerMs = Number.POSITIVE_INFINITY;
+  /** When all bytes that have been taken will have passed. */
+  private freeAtMs = 0;
   private state: LinkState = 'sound';
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
@@ -52,11 +58,11 @@
     this.join(target, caller, 'answer');
   }
 
-  private join(from: Socket, to: Socket, direction: 'request' | 'answer'): void {
+  private join(from: Socket, to: Socket, direction: Direction): void {
     this.sockets.add(from);
     from.setNoDelay(true);
     from.on('error', () => from.destroy());
-    from.on('data', data => this.pass(direction, () => to.write(data)));
+    from.on('data', data => this.passAtRate(from, data.length, direction, () => to.write(data)));
     from.on('end', () => this.pass(direction, () => to.end()));
     from.on('close', hadError => {
       this.sockets.delete(from);
@@ -64,7 +70,19 @@
     });
   }
 
-  private pass(direction: 'request' | 'answer', act: () => void): void {
+  /** Takes no more of a connection before this piece has passed, so that all have their turn. */
+  private passAtRate(from: Socket, bytes: number, direction: Direction, act: () => void): void {
+    if (this.bytesPerMs === Number.POSITIVE_INFINITY) return this.pass(direction, act);
+    const nowMs = performance.now();
+    this.freeAtMs = Math.max(nowMs, this.freeAtMs) + bytes / this.bytesPerMs;
+    from.pause();
+    setTimeout(() => {
+      this.pass(direction, act);
+      from.resume();
+    }, this.freeAtMs - nowMs);
+  }
+
+  private pass(direction: Direction, act: () => void): void {
     switch (this.state) {
       case 'sound':
         if (this.waiting.length === 0) act();
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -16,6 +16,8 @@
 export const ADAPTERS = 3;
 const ZONE = 'zone-a';
 const READY_MS = 10_000;
+/** Name and prefix of a route that nobody asks for. */
+const IDLE_NAME_BYTES = 48;
 const MESH_KEY = 'test-key';
 
 /** A whole answer, or what arrived of one that was cut. */
@@ -63,6 +65,9 @@
   /** Links that can be harmed: to the store, and to each replica. */
   storeLink: LoopbackProxy | undefined;
   readonly replicaLinks = new Map<UsersReplica, LoopbackProxy>();
+  /** Rate of each gateway's link to the store, set before the start. */
+  storeBytesPerMs = Number.POSITIVE_INFINITY;
+  private readonly gatewayLinks: LoopbackProxy[] = [];
   private readonly hosts = new Map<UsersReplica, string>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'jasminepost-users-'));
   private storeAddress = '';
@@ -107,6 +112,7 @@
     for (const replica of [...this.services, ...this.engines]) replica.close();
     for (const link of this.replicaLinks.values()) link.close();
     this.storeLink?.close();
+    for (const link of this.gatewayLinks) link.close();
     this.store.close();
     rmSync(this.folder, {recursive: true});
   }
@@ -134,8 +140,13 @@
   }
 
   /** Writes a configuration with the given changes to its routes. */
-  configure(change: {readonly timeoutMs?: number; readonly extraRoute?: string}): void {
-    const {timeoutMs = 3000} = change;
+  configure(change: {
+    readonly timeoutMs?: number;
+    readonly extraRoute?: string;
+    /** Length of the document, filled up with routes that nobody asks for. */
+    readonly bytes?: number;
+  }): void {
+    const {timeoutMs = 3000, bytes = 0} = change;
     const plain = {host: HOST, timeoutMs, targetLatencyMs: 200, service: 'orders'};
     const stream = {
       host: HOST,
@@ -155,6 +166,11 @@
       const name = change.extraRoute;
       routes.push({...plain, name, pathPrefix: `/${name}/`, kind: 'safe', attempts: 2});
     }
+    const idle = {...plain, host: `idle.${HOST}`, kind: 'safe', attempts: 2};
+    const idleBytes = JSON.stringify(idle).length + IDLE_NAME_BYTES;
+    for (let i = 0; i < Math.floor(bytes / idleBytes); i++) {
+      routes.push({...idle, name: `idle-${i}`, pathPrefix: `/idle-${i}/`});
+    }
     const model = (name: string, adapters: number) => ({
       name,
       weightsMb: 40,
@@ -244,10 +260,22 @@
     const [callerPort, readyPort] = [await freePort(), await freePort()];
     const process = this.spawn('jasminepost-gateway', ip, {
       listenAddrs: {front: `${ip}:${callerPort}`, readyAddr: `${ip}:${readyPort}`},
+      ...(await this.ownStoreLink()),
     });
     this.gateways.push({process, ip, callerPort, readyPort});
   }
 
+  /** Settings of a gateway that reaches the store over a link of its own; none without a rate. */
+  private async ownStoreLink(): Promise<object> {
+    if (this.storeBytesPerMs === Number.POSITIVE_INFINITY) return {};
+    const [host, port] = this.storeAddress.split(':');
+    const link = new LoopbackProxy(host, Number(port));
+    link.bytesPerMs = this.storeBytesPerMs;
+    await link.listen(host);
+    this.gatewayLinks.push(link);
+    return {platform: {address: `${host}:${link.port}`, ttlMinMs: 1000}};
+  }
+
   /** Starts a gateway that has ended again, at its address. */
   restartGateway(index: number): void {
     const gateway = this.gateways[index];
