Judge the store's answers by their progress, not by the time of the whole

Callers saw changes that were never in force at the planner's gateway, and orders at replicas that had left for seconds. The gateway asked again from the same revision, so that the next answer was as large or larger: a livelock that ended only when the store had forgotten the history. Class of fault: time limits made for small messages.

Bodies that are sent get time by their length. Reads use connections of their own, so that leases are not held up behind them, and the first read is not asked for again while its answer comes in: five large answers at once slow each other.

Ruled out: a longer limit for the whole answer alone, which finds a lost connection seconds later.

--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -22,7 +22,7 @@
 const RELAY_SILENCE_MS = 1200;
 const RELAY_CHECK_MS = 100;
 /**
- * Before the first answer the read is asked for again after this, while the earlier calls go on: a
+ * Until an answer begins the first read is asked for again after this, while the earlier calls go on: a
  * silent store never answers some of them, and without an answer nobody can be served.
  */
 const FIRST_READ_AGAIN_MS = 300;
@@ -178,10 +178,16 @@
   private async readFirst(): Promise<StoreChanges> {
     const {signal} = this.abort;
     const calls = new Set<Promise<StoreChanges>>();
+    let begun = false;
     while (!signal.aborted) {
-      const call = this.store.range('');
-      calls.add(call);
-      call.catch(() => calls.delete(call));
+      if (!begun) {
+        const call = this.store.range('', () => (begun = true));
+        calls.add(call);
+        call.catch(() => {
+          calls.delete(call);
+          begun = false;
+        });
+      }
       const again = sleep(FIRST_READ_AGAIN_MS, signal).then(() => undefined);
       const read = await Promise.race([Promise.any(calls), again]);
       if (read !== undefined) return read;
--- a/packages/key_value/src/lib/key_value_client.ts
+++ b/packages/key_value/src/lib/key_value_client.ts
@@ -4,7 +4,7 @@
 import type {KeyValueStore, StoredEntry, WriteOutcome} from './key_value_store.ts';
 import {StoreConnection, type StoreCallLimits} from './store_http.ts';
 
-const CONNECTION_LIMITS = {connections: 4, connectMs: 1000, callMs: 2000};
+const CONNECTION_LIMITS = {connections: 4, connectMs: 1000, startMs: 2000};
 /** Added to a watch's own wait so that the service answers first. */
 const WATCH_GRACE_MS = 2000;
 
@@ -102,9 +102,9 @@
   ): Promise<KeyValueEntry | null | undefined> {
     const path = `/v1/watch?key=${encodeURIComponent(key)}&seen=${seenVersion}&waitMs=${waitMs}`;
     const reply = await this.call('watch', 'GET', path, undefined, {
-      timeoutMs: waitMs + WATCH_GRACE_MS,
+      startMs: waitMs + WATCH_GRACE_MS,
       signal,
-      waits: true,
+      isLong: true,
     });
     return reply.status === 204 ? undefined : entryReply.parse(reply.body).entry;
   }
--- a/packages/key_value/src/lib/store_http.ts
+++ b/packages/key_value/src/lib/store_http.ts
@@ -1,6 +1,7 @@
 /** HTTP calls to a key-value service, with what a failure says about its effect. */
 import {Agent, request, type Dispatcher} from 'undici';
 import {messageOf, neverSent, PlatformError, type CounterFamily} from '@jasminepost/core';
+import {AnswerPatience} from './answer_patience.ts';
 
 type Method = 'GET' | 'PUT' | 'POST';
 
@@ -11,11 +12,14 @@
   readonly url: string;
   readonly body: object | undefined;
   readonly dispatcher: Dispatcher;
-  readonly timeoutMs: number;
+  readonly startMs: number;
   readonly signal: AbortSignal | undefined;
   readonly onHeaders: (headers: StoreHttpHeaders) => void;
 }
 
+/** A body is sent at this rate at the least, in bytes per millisecond. */
+const LEAST_UPLOAD_BYTES_PER_MS = 100;
+
 /** Headers of an answer, by their names in lower case. @public */
 export type StoreHttpHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -30,22 +34,26 @@
   /** Connections for calls other than watches. */
   readonly connections: number;
   readonly connectMs: number;
-  readonly callMs: number;
+  /** Time until an answer begins. */
+  readonly startMs: number;
 }
 
 /** What one call needs other than usual. @public */
 export interface StoreCallLimits {
-  readonly timeoutMs: number;
+  /** Time until the answer begins. */
+  readonly startMs?: number;
   readonly signal?: AbortSignal;
-  /** True for a call that waits for changes; it gets a connection of its own. */
-  readonly waits?: boolean;
+  /** True for a call that waits for changes or reads much; it gets a connection of its own. */
+  readonly isLong?: boolean;
+  /** Called when the answer begins. */
+  readonly onBegun?: () => void;
 }
 
 /** Counts and makes the calls of one client. @public */
 export class StoreConnection<Kind extends string> {
   private readonly agent: Agent;
-  /** Watches wait long; they must not hold up the other calls. */
-  private readonly watchAgent: Agent;
+  /** For calls that take long; they must not hold up the others. */
+  private readonly longAgent: Agent;
 
   constructor(
     private readonly origin: string,
@@ -56,11 +64,12 @@
   ) {
     const {connections, connectMs} = limits;
     this.agent = new Agent({connections, pipelining: 1, connect: {timeout: connectMs}});
-    this.watchAgent = new Agent({connect: {timeout: connectMs}});
+    this.longAgent = new Agent({connect: {timeout: connectMs}});
   }
 
   /**
-   * Makes a call and reads the answer.
+   * Makes a call and reads the answer. Its length is not known before, so that time limits apply to
+   * its beginning and to pauses in it.
    *
    * @throws PlatformError `unavailable` when nothing was done, `unknown_outcome` otherwise.
    * @example
@@ -79,44 +88,49 @@
       method,
       url: this.origin + path,
       body,
-      dispatcher: own?.waits === true ? this.watchAgent : this.agent,
-      timeoutMs: own?.timeoutMs ?? this.limits.callMs,
+      dispatcher: own?.isLong === true ? this.longAgent : this.agent,
+      startMs: own?.startMs ?? this.limits.startMs,
       signal: own?.signal,
-      onHeaders: this.onHeaders,
+      onHeaders: headers => {
+        this.onHeaders(headers);
+        own?.onBegun?.();
+      },
     });
   }
 
   async close(): Promise<void> {
-    await Promise.all([this.agent.destroy(), this.watchAgent.destroy()]);
+    await Promise.all([this.agent.destroy(), this.longAgent.destroy()]);
   }
 }
 
 async function callStore(call: StoreHttpCall): Promise<StoreHttpReply> {
-  const {name, method, url, body, dispatcher, timeoutMs, signal, onHeaders} = call;
-  const timeout = AbortSignal.timeout(timeoutMs);
-  const beganMs = performance.now();
-  let bytes = 0;
+  const {name, method, url, body, dispatcher, startMs, signal, onHeaders} = call;
+  const text = body === undefined ? null : JSON.stringify(body);
+  const uploadMs = text === null ? 0 : text.length / LEAST_UPLOAD_BYTES_PER_MS;
+  const patience = new AnswerPatience(startMs + uploadMs, signal);
   let reply: StoreHttpReply;
   try {
     const res = await request(url, {
       method,
       dispatcher,
       headers: {'content-type': 'application/json'},
-      body: body === undefined ? null : JSON.stringify(body),
-      signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
+      body: text,
+      signal: patience.signal,
     });
+    patience.onBegun();
     onHeaders(res.headers);
     const chunks: Buffer[] = [];
     for await (const chunk of res.body) {
-      bytes += (chunk as Buffer).length;
+      patience.onBytes((chunk as Buffer).length);
       chunks.push(chunk as Buffer);
     }
     reply = {status: res.statusCode, text: Buffer.concat(chunks).toString('utf8')};
   } catch (thrown) {
     const harmless = method === 'GET' || neverSent(thrown);
     const fault = harmless ? 'unavailable' : 'unknown_outcome';
-    const progress = `${bytes} bytes after ${Math.round(performance.now() - beganMs)} ms`;
-    throw new PlatformError(fault, `${name} ${url}: ${messageOf(thrown)}, ${progress}`);
+    throw new PlatformError(fault, `${name} ${url}: ${messageOf(thrown)}, ${patience.progress}`);
+  } finally {
+    patience.dispose();
   }
   // Both services promise that nothing was done when they answer 429 or 503.
   if (reply.status === 429 || reply.status === 503) {
