Let every gateway read the configuration at the store; the planner's tells only that there is one

Callers saw changes late at all gateways when the planner's had a small link or was slow. It sent the whole document to each of the others: 30 times 420 kB through a link of 10 Mbit/s take 10 s, with drains, permits and news of crashes behind them in the same queues, and its own lease renewals beside them. Class of fault: one process that carries the news of all, in queues made for small messages.

Each gateway waits at the store for the configuration alone; the watch for all else leaves it out. What the planner's gateway tells has the revision at which the newest configuration was written, so that a gateway whose waiting call has fallen silent reads it after 0.4 s. The system's keys move under system/, so that one prefix covers them and the replicas' entries. StoreFollower does for either prefix what FleetFeed did for all keys.

Weighed: a tree of gateways or the changes alone (state to keep on both sides, and whole documents all the same after a gap); compressed (the processor of a quarter of a core). The store has 1,000 Mbit/s: 31 reads of 560 kB take 0.14 s.

--- a/apps/gateway/src/lib/crash_share.ts
+++ b/apps/gateway/src/lib/crash_share.ts
@@ -7,7 +7,7 @@
 import {parseCrashNews, type CrashNewsMessage} from '@jasminepost/mesh';
 import type {StoreChange} from '@jasminepost/platform';
 
-const SHARE_PREFIX = 'suspects/';
+const SHARE_PREFIX = 'system/suspects/';
 const LOOK_INTERVAL_MS = 250;
 /** What is written outlives its gateway for this long, the store's longest lease. */
 const KEPT_MS = 600_000;
--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -1,8 +1,9 @@
 /**
- * Follows the platform's store: configuration, replicas and the planner's holder. The planner's
- * gateway asks the store and tells the others; they ask it themselves when they hear nothing.
+ * Follows the platform's store: configuration, replicas and the planner's holder. Every gateway waits
+ * for the configuration at the store. Of all else the planner's gateway tells the others; they ask the
+ * store themselves when they hear nothing.
  */
-import {backoffMs, messageOf, sleep, type Logger} from '@jasminepost/core';
+import {Disposer, type Logger} from '@jasminepost/core';
 import type {StoreChangesMessage} from '@jasminepost/mesh';
 import {
   CONFIG_KEY,
@@ -13,19 +14,21 @@
   type StorePoint,
 } from '@jasminepost/platform';
 import {RETURN_GRACE_MS, type SnapshotKind} from './replica_table.ts';
+import {StoreFollower} from './store_follower.ts';
 
+/** Begins the replicas' keys and the system's own, and not that of the configuration. */
+const FLEET_PREFIX = 's';
 /** A watch that the store lost is found after this and the client's grace. */
 const WATCH_MS = 1500;
 /** The same for the gateway that reads for the others, which hear of each answer. */
 const RELAY_WATCH_MS = 500;
+/** The same for the configuration where the planner's gateway tells that there is a newer one. */
+const CONFIG_WATCH_MS = 10_000;
 /** Others ask the store themselves when they have heard nothing for this long. */
 const RELAY_SILENCE_MS = 1200;
 const RELAY_CHECK_MS = 100;
-/**
- * Until an answer begins the first read is asked for again after this, while the earlier calls go on: a
- * silent store never answers some of them, and without an answer nobody can be served.
- */
-const FIRST_READ_AGAIN_MS = 300;
+/** A newer configuration that the planner's gateway has is asked for after this. */
+const CONFIG_BEHIND_MS = 400;
 /**
  * Changes that come close together are taken in with one call, the more of them the more gateways
  * follow the store. A drain and a configuration have 2 s to be noticed.
@@ -35,10 +38,6 @@
 const MAX_GATHER_MS = 900;
 /** What others than the system wrote is written again this long after a return from a copy. */
 const COPY_GRACE_MS = 4000;
-const RETRY_BASE_MS = 150;
-const RETRY_CAP_MS = 400;
-/** A store that stays away is told of again after this. */
-const TELL_LOST_MS = 2000;
 
 /** @internal */
 export interface FleetFeedEvents {
@@ -59,38 +58,52 @@
 
 /** @internal */
 export class FleetFeed {
-  private readonly abort = new AbortController();
-  private failures = 0;
-  private revision = -1;
-  /** Era of the revision. */
-  private era = 0;
-  /** Keys other than replicas' and the configuration's, to tell when one is gone. */
+  private readonly fleet: StoreFollower;
+  private readonly config: StoreFollower;
+  private readonly disposer = new Disposer();
+  /** Keys other than replicas', to tell when one is gone. */
   private others = new Set<string>();
-  private connected = false;
-  private everConnected = false;
   private settledMs = Number.NEGATIVE_INFINITY;
   private relayedMs = Number.NEGATIVE_INFINITY;
   private relayedSettling = false;
-  /** When the store or the planner's gateway told last what the store holds. */
-  private heardMs = performance.now();
-  private toldLostMs = Number.NEGATIVE_INFINITY;
+  private wasRelayed = false;
+  /** Revision at which the configuration that is known here was written. */
+  private configRevision = 0;
+  /** Since when the planner's gateway has had a newer configuration. */
+  private behindMs: number | undefined;
   /** Gateways that the planner's has counted last; 0 before the first word of it. */
   countedGateways = 0;
 
   constructor(
-    private readonly store: StoreClient,
+    store: StoreClient,
     private readonly log: Logger,
     private readonly events: FleetFeedEvents,
-  ) {}
+  ) {
+    this.fleet = new StoreFollower(store, FLEET_PREFIX, log, {
+      onSnapshot: (found, isCopy) => this.takeSnapshot(found, isCopy),
+      onChanges: (changes, since) => this.takeChanges(changes, since),
+      onReturn: () => (this.settledMs = performance.now() + RETURN_GRACE_MS),
+      waitMs: () => (this.isRelayed ? undefined : this.ownWatchMs()),
+      gatherMs: () => this.gatherMs(),
+    });
+    this.config = new StoreFollower(store, CONFIG_KEY, log, {
+      onSnapshot: found => this.takeConfig(found.changes),
+      onChanges: changes => this.takeConfig(changes),
+      onReturn: () => undefined,
+      waitMs: () => (this.isRelayed ? CONFIG_WATCH_MS : this.ownWatchMs()),
+      gatherMs: () => MIN_GATHER_MS,
+    });
+    this.disposer.interval(RELAY_CHECK_MS, () => this.checkRelay());
+  }
 
-  /** True until the first call to the store has failed or been answered. */
+  /** True until the first read of the configuration has failed or been answered. */
   get isFirstCall(): boolean {
-    return !this.everConnected && this.failures === 0;
+    return this.config.isFirstCall;
   }
 
   /** True while what has changed in the store is known here within a watch's time. */
   get isSound(): boolean {
-    return (this.connected || this.isRelayed) && !this.isSettling();
+    return (this.fleet.isConnected || this.isRelayed) && !this.isSettling();
   }
 
   /** True while the planner's gateway tells what it reads. */
@@ -98,68 +111,49 @@
     return !this.events.isRelay() && performance.now() - this.relayedMs < RELAY_SILENCE_MS;
   }
 
-  /** Revision of the store up to which everything is known here; -1 before the first read. */
+  /** Revision of the store up to which the replicas are known here; -1 before the first read. */
   get knownRevision(): number {
-    return this.revision;
+    return this.fleet.revision;
   }
 
   /** Time since the store, or the planner's gateway for it, was heard last. */
   get unheardMs(): number {
-    return performance.now() - this.heardMs;
+    return this.fleet.unheardMs;
   }
 
   start(): void {
-    void this.run();
+    this.fleet.start();
+    this.config.start();
   }
 
   dispose(): void {
-    this.abort.abort();
+    this.disposer.dispose();
+    this.fleet.dispose();
+    this.config.dispose();
   }
 
   /** Takes in what the planner's gateway has read, if nothing is missing in between. */
   takeRelayed(message: StoreChangesMessage): void {
-    const {era, since, revision, settling, gateways, changes} = message;
+    const {era, since, revision, settling, gateways, configRevision, changes} = message;
     this.countedGateways = gateways;
-    if (era > this.era) this.revision = -1;
-    if (era !== this.era || this.revision < 0 || since > this.revision || this.events.isRelay())
-      return;
+    if (this.events.isRelay()) return;
+    const told = changes.map(({key, revision: at, value}) => ({key, revision: at, value}));
+    const fresh = this.fleet.takeHeard(era, since, revision, told);
+    if (fresh === undefined) return;
     this.relayedMs = performance.now();
-    this.heardMs = this.relayedMs;
     this.relayedSettling = settling;
-    this.takeChanges(
-      changes.map(({key, revision: at, value}) => ({key, revision: at, value})),
-      revision,
-    );
+    for (const change of fresh) this.deliver(change);
+    if (era === this.config.era) this.noteConfig(configRevision);
   }
 
   /** Takes in that the store came back from an older copy: everything is read anew. */
   onNewEra(): void {
-    this.revision = -1;
-  }
-
-  private async run(): Promise<void> {
-    while (!this.abort.signal.aborted) {
-      try {
-        if (this.revision < 0) await this.readAll();
-        else if (this.isRelayed) await sleep(RELAY_CHECK_MS, this.abort.signal);
-        else await this.followOnce();
-      } catch (thrown) {
-        if (this.abort.signal.aborted) return;
-        this.onFailure(thrown);
-        await sleep(backoffMs(this.failures, RETRY_BASE_MS, RETRY_CAP_MS), this.abort.signal);
-        this.failures += 1;
-      }
-    }
+    this.configRevision = 0;
+    this.fleet.readAnew();
+    this.config.readAnew();
   }
 
-  private async readAll(): Promise<void> {
-    const {changes, revision, era} = this.everConnected
-      ? await this.store.range('')
-      : await this.readFirst();
-    const isCopy = this.everConnected && era !== this.era;
-    this.onAnswer();
-    this.revision = revision;
-    this.era = era;
+  private takeSnapshot({changes, revision}: StoreChanges, isCopy: boolean): void {
     if (isCopy) this.settledMs = performance.now() + COPY_GRACE_MS;
     this.events.onReplicaSnapshot(
       changes.filter(change => change.key.startsWith(REPLICA_PREFIX)),
@@ -175,78 +169,64 @@
     for (const key of gone) this.events.onOther({key, revision, value: undefined});
   }
 
-  private async readFirst(): Promise<StoreChanges> {
-    const {signal} = this.abort;
-    const calls = new Set<Promise<StoreChanges>>();
-    let begun = false;
-    while (!signal.aborted) {
-      if (!begun) {
-        const call = this.store.range('', () => (begun = true));
-        calls.add(call);
-        call.catch(() => {
-          calls.delete(call);
-          begun = false;
-        });
-      }
-      const again = sleep(FIRST_READ_AGAIN_MS, signal).then(() => undefined);
-      const read = await Promise.race([Promise.any(calls), again]);
-      if (read !== undefined) return read;
-    }
-    return Promise.any(calls);
-  }
-
-  private async followOnce(): Promise<void> {
-    const {signal} = this.abort;
-    // After a failure a call that is answered at once tells that the store is back.
-    const longestMs = this.events.isRelay() ? RELAY_WATCH_MS : WATCH_MS;
-    const waitMs = this.connected ? longestMs : 0;
-    const {era, revision} = this;
-    const found = await this.store.watch('', {era, revision}, waitMs, signal);
-    if (signal.aborted) return;
-    this.onAnswer();
-    // Another call has shown meanwhile that everything must be read anew.
-    if (this.revision < 0) return;
-    if (found === undefined) {
-      this.log.warn('store history gone, reading all', {revision: this.revision});
-      this.revision = -1;
-      return;
-    }
-    const since = this.revision;
-    const changes = this.takeChanges(found.changes, found.revision);
+  private takeChanges(changes: readonly StoreChange[], since: number): void {
+    const told = changes.filter(change => this.deliver(change));
     this.events.relay({
       type: 'store_changes',
-      era,
+      era: this.fleet.era,
       since,
-      revision: this.revision,
+      revision: this.fleet.revision,
       settling: this.isSettling(),
       gateways: this.events.linkedGateways(),
-      changes,
+      configRevision: this.configRevision,
+      changes: told,
     });
-    if (found.changes.length > 0) await sleep(this.gatherMs(), signal);
-  }
-
-  /** Takes changes in that are new here; returns those that matter to other gateways. */
-  private takeChanges(changes: readonly StoreChange[], revision: number): StoreChange[] {
-    const fresh = changes.filter(change => change.revision > this.revision);
-    this.revision = Math.max(this.revision, revision);
-    return fresh.filter(change => this.deliver(change));
   }
 
+  /** @returns True when the change matters to other gateways. */
   private deliver(change: StoreChange): boolean {
     if (change.key.startsWith(REPLICA_PREFIX)) {
       return this.events.onReplicaChange(change, this.isSettling());
     }
-    if (change.key === CONFIG_KEY) {
-      const {revision} = change;
-      if (change.value !== undefined) this.events.onConfig(change.value, {era: this.era, revision});
-      return true;
-    }
     if (change.value === undefined) this.others.delete(change.key);
     else this.others.add(change.key);
     this.events.onOther(change);
     return true;
   }
 
+  private takeConfig(changes: readonly StoreChange[]): void {
+    for (const {key, value, revision} of changes) {
+      if (key !== CONFIG_KEY || value === undefined) continue;
+      this.configRevision = revision;
+      this.events.onConfig(value, {era: this.config.era, revision});
+    }
+  }
+
+  /** A connection that has fallen silent shows only by what others have heard since. */
+  private noteConfig(newestRevision: number): void {
+    const {config, configRevision} = this;
+    if (newestRevision <= configRevision || config.isAnswering) {
+      this.behindMs = undefined;
+      return;
+    }
+    const nowMs = performance.now();
+    this.behindMs ??= nowMs;
+    if (nowMs - this.behindMs < CONFIG_BEHIND_MS) return;
+    this.behindMs = undefined;
+    this.log.warn('configuration behind, reading it', {configRevision, newestRevision});
+    config.readAnew();
+  }
+
+  private checkRelay(): void {
+    const {isRelayed} = this;
+    if (this.wasRelayed && !isRelayed) this.config.askAnew();
+    this.wasRelayed = isRelayed;
+  }
+
+  private ownWatchMs(): number {
+    return this.events.isRelay() ? RELAY_WATCH_MS : WATCH_MS;
+  }
+
   private gatherMs(): number {
     if (this.events.isRelay()) return MIN_GATHER_MS;
     const gatherMs = GATHER_MS_PER_GATEWAY * this.events.gateways();
@@ -256,26 +236,4 @@
   private isSettling(): boolean {
     return performance.now() < this.settledMs || (this.isRelayed && this.relayedSettling);
   }
-
-  private onAnswer(): void {
-    this.heardMs = performance.now();
-    if (this.connected) return;
-    this.connected = true;
-    // The first contact has nothing before it that could have lapsed.
-    if (this.everConnected) this.settledMs = performance.now() + RETURN_GRACE_MS;
-    this.everConnected = true;
-    this.log.info('store reached', {failures: this.failures, revision: this.revision});
-    this.failures = 0;
-  }
-
-  private onFailure(thrown: unknown): void {
-    const {failures, revision} = this;
-    const nowMs = performance.now();
-    if (this.connected || nowMs - this.toldLostMs > TELL_LOST_MS) {
-      const unheardMs = Math.round(this.unheardMs);
-      this.log.warn('store lost', {error: messageOf(thrown), failures, revision, unheardMs});
-      this.toldLostMs = nowMs;
-    }
-    this.connected = false;
-  }
 }
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -22,7 +22,7 @@
 import {PlannerLink} from './planner_link.ts';
 
 /** Prefix of the role's keys. */
-const PLANNER_KEY = 'planner';
+const PLANNER_KEY = 'system/planner';
 const HOLDER_KEY = `${PLANNER_KEY}/holder`;
 /** Term of the lease: a lost planner is replaced after this. */
 const LEASE_MS = 1500;
--- a/features/large_configuration.feature
+++ b/features/large_configuration.feature
@@ -27,3 +27,14 @@
     When the connections to the store are reset
     And the first replica is taken off the list 50 ms later
     Then no order reaches the first replica later than 2000 ms after that
+
+  Scenario: what the planner's gateway tells the others of the largest configuration
+    When a gateway that reads the store for 30 others takes in a configuration of 1000 kB
+    Then it has told each of them less than 5 kB
+
+  Scenario: a change when all connections to the store have fallen silent
+    Given a users' fleet of 1 service replicas and 3 gateways, whose links to the store pass 875 bytes a ms
+    When the connections to the store fall silent, and new ones work
+    And 3000 ms pass
+    And a configuration of 100 kB adds the route "added"
+    Then the route "added" is in force at every gateway within 2000 ms
--- a/features/steps/large_configuration_steps.ts
+++ b/features/steps/large_configuration_steps.ts
@@ -3,6 +3,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
 import {until} from '../support/fleet_process.ts';
+import {tellConfiguration, type RelayTelling} from '../support/relay_telling.ts';
 import {UsersFleet} from '../support/users_fleet.ts';
 import {notes, of} from '../support/users_notes.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -20,6 +21,7 @@
 const tookMs = new WeakMap<UsersFleet, Promise<number[]>[]>();
 const changedMs = new WeakMap<UsersFleet, number>();
 const leftMs = new WeakMap<UsersFleet, number>();
+const tellings = new WeakMap<FleetWorld, RelayTelling>();
 
 function newFleet(world: FleetWorld): UsersFleet {
   const fleet = new UsersFleet();
@@ -92,6 +94,23 @@
   for (const index of fleet.gateways.keys()) fleet.restartGateway(index);
 });
 
+When(
+  'a gateway that reads the store for 30 others takes in a configuration of {int} kB',
+  async function (this: FleetWorld, kb: number) {
+    tellings.set(this, await tellConfiguration(kb * BYTES_PER_KB));
+  },
+);
+
+Then('it has told each of them less than {int} kB', function (this: FleetWorld, kb: number) {
+  const {bytesTold, taken} = tellings.get(this)!;
+  assert.ok(taken);
+  assert.ok(bytesTold < kb * BYTES_PER_KB, `${bytesTold} bytes`);
+});
+
+When('the connections to the store fall silent, and new ones work', function (this: FleetWorld) {
+  of(this).fleet.silenceStoreLinks();
+});
+
 When('the connections to the store are reset', function (this: FleetWorld) {
   of(this).fleet.storeLink!.reset();
 });
--- a/features/steps/store_era_steps.ts
+++ b/features/steps/store_era_steps.ts
@@ -175,7 +175,7 @@
 
 Then('one gateway plans, with a term above all before', function (this: FleetWorld) {
   const {fleet} = of(this);
-  const {term} = JSON.parse(fleet.store.read('planner/holder') ?? '{}') as {term: number};
+  const {term} = JSON.parse(fleet.store.read('system/planner/holder') ?? '{}') as {term: number};
   const before = planners(fleet).filter(known => known !== term);
   assert.ok(before.length > 0);
   assert.ok(
--- a/features/support/loopback_proxy.ts
+++ b/features/support/loopback_proxy.ts
@@ -42,6 +42,14 @@
     for (const pass of this.waiting.splice(0)) pass();
   }
 
+  /** Lets nothing more pass on the connections that are open; their ends hear nothing of it. */
+  silence(): void {
+    for (const socket of this.sockets) {
+      socket.removeAllListeners('data');
+      socket.pause();
+    }
+  }
+
   /** Resets every connection. */
   reset(): void {
     for (const socket of this.sockets) resetNow(socket);
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -117,13 +117,20 @@
     rmSync(this.folder, {recursive: true});
   }
 
+  /** Lets nothing more pass on the gateways' open connections to the store; new ones work. */
+  silenceStoreLinks(): void {
+    for (const link of this.gatewayLinks) link.silence();
+  }
+
   hostOf(replica: UsersReplica): string {
     return this.hosts.get(replica) ?? '';
   }
 
   /** Index of the gateway that holds the planner's role; -1 when none does. */
   plannerIndex(): number {
-    const {holder} = JSON.parse(this.store.read('planner/holder') ?? '{}') as {holder?: string};
+    const {holder} = JSON.parse(this.store.read('system/planner/holder') ?? '{}') as {
+      holder?: string;
+    };
     return this.gateways.findIndex(({ip}) => holder?.startsWith(`${ip}:`));
   }
 
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -231,6 +231,8 @@
   settling: z.boolean(),
   /** Gateways linked to the planner's, with itself. */
   gateways: count,
+  /** Revision at which the newest configuration was written; the document is read at the store. */
+  configRevision: count.default(0),
   changes: z
     .array(z.object({key: name, revision: count, value: z.string().optional()}))
     .max(65_536),
