Give up the other first reads when the answer to one begins

Suspected: the first read was asked for again before the answer to the one before had begun, so that both documents passed over the same link of 3.2 Mbit/s, 7 s together with a bound of 8 s. Now at most one of them goes on.

The scenario of changes in a row dropped the route of the change before with each change, so that a gateway that went straight to the newest one never served it, as allowed. Each change now keeps the routes of those before it and all have to be served in time: as strict, and no version may be late.

--- a/apps/gateway/src/lib/store_follower.ts
+++ b/apps/gateway/src/lib/store_follower.ts
@@ -143,7 +143,7 @@
   }
 
   private async readAll(): Promise<void> {
-    const found = this.everAnswered ? await this.range() : await this.readFirst();
+    const found = this.everAnswered ? await this.range(this.call.signal) : await this.readFirst();
     const isCopy = this.everAnswered && found.era !== this.knownEra;
     this.onAnswer();
     this.knownRevision = found.revision;
@@ -151,27 +151,40 @@
     this.events.onSnapshot(found, isCopy);
   }
 
+  /** Calls that have not been answered are given up when the answer to another begins. */
   private async readFirst(): Promise<StoreChanges> {
     const {signal} = this.abort;
-    const calls = new Set<Promise<StoreChanges>>();
+    const calls = new Map<AbortController, Promise<StoreChanges>>();
     while (!signal.aborted) {
       if (!this.answering) {
-        const call = this.range();
-        calls.add(call);
-        call.catch(() => calls.delete(call));
+        const own = new AbortController();
+        const call = this.range(own.signal, () => {
+          for (const other of calls.keys()) if (other !== own) other.abort();
+        });
+        calls.set(own, call);
+        call.catch(() => calls.delete(own));
       }
       const again = sleep(FIRST_READ_AGAIN_MS, signal).then(() => undefined);
-      const read = await Promise.race([Promise.any(calls), again]);
+      const read = await Promise.race([Promise.any(calls.values()), again]);
       if (read !== undefined) return read;
     }
-    return Promise.any(calls);
-  }
-
-  private async range(): Promise<StoreChanges> {
+    return Promise.any(calls.values());
+  }
+
+  private async range(signal: AbortSignal, onBegun?: () => void): Promise<StoreChanges> {
+    let begun = false;
+    const limits = {
+      signal,
+      onBegun: () => {
+        begun = true;
+        this.answering = true;
+        onBegun?.();
+      },
+    };
     try {
-      return await this.store.range(this.prefix, () => (this.answering = true));
+      return await this.store.range(this.prefix, limits);
     } finally {
-      this.answering = false;
+      if (begun) this.answering = false;
     }
   }
 
--- a/features/steps/large_configuration_steps.ts
+++ b/features/steps/large_configuration_steps.ts
@@ -77,10 +77,12 @@
   async function (this: FleetWorld, count: number, kb: number, everyMs: number) {
     const {fleet} = of(this);
     const times: Promise<number[]>[] = [];
+    const extraRoutes: string[] = [];
     for (let i = 0; i < count; i++) {
-      const extraRoute = `added-${i}`;
-      fleet.configure({extraRoute, bytes: kb * BYTES_PER_KB});
-      times.push(timesInForce(fleet, extraRoute, performance.now()));
+      const route = `added-${i}`;
+      extraRoutes.push(route);
+      fleet.configure({extraRoutes, bytes: kb * BYTES_PER_KB});
+      times.push(timesInForce(fleet, route, performance.now()));
       await sleep(everyMs);
     }
     tookMs.set(fleet, times);
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -150,6 +150,7 @@
   configure(change: {
     readonly timeoutMs?: number;
     readonly extraRoute?: string;
+    readonly extraRoutes?: readonly string[];
     /** Length of the document, filled up with routes that nobody asks for. */
     readonly bytes?: number;
   }): void {
@@ -169,8 +170,8 @@
       {...stream, name: 'draft', pathPrefix: '/draft/', attempts: 1, canResume: false},
       {...stream, name: 'long', pathPrefix: '/long/', attempts: 2, canResume: true},
     ];
-    if (change.extraRoute !== undefined) {
-      const name = change.extraRoute;
+    const {extraRoutes = change.extraRoute === undefined ? [] : [change.extraRoute]} = change;
+    for (const name of extraRoutes) {
       routes.push({...plain, name, pathPrefix: `/${name}/`, kind: 'safe', attempts: 2});
     }
     const idle = {...plain, host: `idle.${HOST}`, kind: 'safe', attempts: 2};
