Take a removed entry for one that lapsed only after an outage in which it could lapse

Callers' requests reached a replica for 2 s longer after its entry had been removed, whenever the gateway had just lost the store for a moment: each failed call of its own counted as an outage of the store, and a removal within 2 s of it waited 2 s for the entry to come back, told to all others by the planner's gateway as well. An entry lapses after three intervals without a write, so an outage of less than one and a half can't make it lapse.

--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -38,6 +38,11 @@
 const MAX_GATHER_MS = 900;
 /** What others than the system wrote is written again this long after a return from a copy. */
 const COPY_GRACE_MS = 4000;
+/**
+ * No entry lapses in an outage that is shorter, in intervals between two writes of a replica: it takes
+ * three without a write, and the last one before the outage is a little over one old at most.
+ */
+const OUTAGE_INTERVALS = 1.5;
 
 /** @internal */
 export interface FleetFeedEvents {
@@ -74,15 +79,17 @@
   /** Gateways that the planner's has counted last; 0 before the first word of it. */
   countedGateways = 0;
 
+  /** @param replicaIntervalMs - Time between two writes of a replica to its entry. */
   constructor(
     store: StoreClient,
     private readonly log: Logger,
+    private readonly replicaIntervalMs: number,
     private readonly events: FleetFeedEvents,
   ) {
     this.fleet = new StoreFollower(store, FLEET_PREFIX, log, {
       onSnapshot: (found, isCopy) => this.takeSnapshot(found, isCopy),
       onChanges: (changes, since) => this.takeChanges(changes, since),
-      onReturn: () => (this.settledMs = performance.now() + RETURN_GRACE_MS),
+      onReturn: unheardMs => this.onReturn(unheardMs),
       waitMs: () => (this.isRelayed ? undefined : this.ownWatchMs()),
       gatherMs: () => this.gatherMs(),
     });
@@ -223,6 +230,11 @@
     this.wasRelayed = isRelayed;
   }
 
+  private onReturn(unheardMs: number): void {
+    if (unheardMs < OUTAGE_INTERVALS * this.replicaIntervalMs) return;
+    this.settledMs = performance.now() + RETURN_GRACE_MS;
+  }
+
   private ownWatchMs(): number {
     return this.events.isRelay() ? RELAY_WATCH_MS : WATCH_MS;
   }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -205,7 +205,7 @@
     onPermits: message => limits.onGrant(message),
     onStoreChanges: message => feed.takeRelayed(message),
   });
-  const feed: FleetFeed = new FleetFeed(store, log, {
+  const feed: FleetFeed = new FleetFeed(store, log, own.replicaIntervalMs, {
     onConfig: (text, point) => config.take(text, point),
     onReplicaSnapshot: (changes, kind) => table.applySnapshot(changes, kind),
     onReplicaChange: (change, afterOutage) => table.applyChange(change, afterOutage),
--- a/features/support/relay_telling.ts
+++ b/features/support/relay_telling.ts
@@ -14,6 +14,7 @@
 
 const LIMIT_MS = 3000;
 const GATEWAYS = 31;
+const REPLICA_INTERVAL_MS = 1200;
 
 export async function tellConfiguration(documentBytes: number): Promise<RelayTelling> {
   const store = new MetadataStore();
@@ -22,7 +23,7 @@
   const client = new StoreClient({host, port: Number(port)}, calls);
   const told: StoreChangesMessage[] = [];
   let taken = '';
-  const feed = new FleetFeed(client, createLogger('test', 'relay', 'error'), {
+  const feed = new FleetFeed(client, createLogger('test', 'relay', 'error'), REPLICA_INTERVAL_MS, {
     onConfig: text => (taken = text),
     onReplicaSnapshot: () => undefined,
     onReplicaChange: () => true,
