Keep a daemon running when an unexpected error escapes from one request's work

An error that nothing takes, thrown in a timer, an event handler or a rejected promise, ended the whole process and with it every request that it was serving. No input is known that brings it about here; operators of similar systems met it. All four daemons log it with its stack, count it in escaped_errors and go on; the request whose work it ended has timers of its own.

Shown by escaped_errors.feature: without the barrier the same program ends.

--- a/apps/entry/src/wire.ts
+++ b/apps/entry/src/wire.ts
@@ -3,6 +3,7 @@
 import {
   AdminServer,
   createLogger,
+  installFaultBarrier,
   installStopSignals,
   MetricRegistry,
   sleep,
@@ -44,6 +45,7 @@
   const clock = new SystemClock();
   const log = createLogger('entry', settings.id, settings.logLevel);
   const registry = new MetricRegistry();
+  installFaultBarrier(log, registry);
   const metrics = new EntryMetrics(registry);
   const self: MemberInfo = {
     id: settings.id,
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -2,6 +2,7 @@
 import {
   AdminServer,
   createLogger,
+  installFaultBarrier,
   installStopSignals,
   messageOf,
   onReloadSignal,
@@ -55,6 +56,7 @@
     storeUnheardMs: () => feed.unheardMs,
     queuedBytes: () => planner.queuedBytes,
   });
+  installFaultBarrier(log, metrics.registry);
   const store = new StoreClient(own.store, metrics.storeCalls, (era, before) => {
     log.warn('store came back from a copy', {era, before, plans: planner.isRelay});
     feed.onNewEra();
--- a/apps/sidecar/src/wire.ts
+++ b/apps/sidecar/src/wire.ts
@@ -2,6 +2,7 @@
 import {
   AdminServer,
   createLogger,
+  installFaultBarrier,
   Disposer,
   type Disposable,
   installStopSignals,
@@ -57,6 +58,7 @@
   const clock = new SystemClock();
   const log = createLogger('sidecar', settings.id, settings.logLevel);
   const registry = new MetricRegistry();
+  installFaultBarrier(log, registry);
   const metrics = new SidecarMetrics(registry);
   const disposer = new Disposer();
   const {id, zone} = settings;
--- a/apps/steward/src/wire.ts
+++ b/apps/steward/src/wire.ts
@@ -2,6 +2,7 @@
 import {
   AdminServer,
   createLogger,
+  installFaultBarrier,
   installStopSignals,
   messageOf,
   MetricRegistry,
@@ -47,6 +48,7 @@
   const clock = new SystemClock();
   const log = createLogger('steward', own.id, settings.logLevel);
   const registry = new MetricRegistry();
+  installFaultBarrier(log, registry);
   const orders = registry.counter<string>('orders', 'Orders by outcome', 'outcome');
   const linkFaults = registry.counter<LinkFault>('link_faults', 'Links that ended', 'fault');
   const store = new StoreClient(
--- /dev/null
+++ b/features/steps/escaped_error_steps.ts
@@ -0,0 +1,54 @@
+/** Steps about errors that nothing else has taken. */
+import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import {Then, When} from '@cucumber/cucumber';
+import {of} from '../support/users_notes.ts';
+import type {FleetWorld} from '../support/world.ts';
+
+const PROGRAM = fileURLToPath(new URL('../support/failing_program.ts', import.meta.url));
+const METRICS_PORT = 9464;
+
+interface Run {
+  readonly code: number | null;
+  readonly output: string;
+}
+
+const runs = new WeakMap<FleetWorld, Run>();
+
+When(
+  'a program in which errors escape runs {word} the barrier',
+  async function (this: FleetWorld, barrier: string) {
+    const child = spawn(process.execPath, ['--import', 'tsx', PROGRAM, barrier]);
+    let output = '';
+    child.stdout.on('data', (data: Buffer) => (output += data.toString('utf8')));
+    const code = await new Promise<number | null>(resolve => child.on('close', resolve));
+    runs.set(this, {code, output});
+  },
+);
+
+Then('it goes on and has counted and logged two', function (this: FleetWorld) {
+  const {code, output} = runs.get(this)!;
+  assert.equal(code, 0);
+  assert.match(output, /still running/);
+  assert.match(output, /escaped_errors\{kind="exception"\} 1/);
+  assert.match(output, /escaped_errors\{kind="rejection"\} 1/);
+  assert.equal([...output.matchAll(/"message":"unexpected error"/g)].length, 2);
+});
+
+Then('it has ended', function (this: FleetWorld) {
+  const {code, output} = runs.get(this)!;
+  assert.notEqual(code, 0);
+  assert.doesNotMatch(output, /still running/);
+});
+
+Then(
+  'the metrics of the gateway and the steward count escaped errors',
+  async function (this: FleetWorld) {
+    const {fleet} = of(this);
+    for (const ip of [fleet.gateways[0].ip, fleet.hostOf(fleet.engines[0])]) {
+      const text = await (await fetch(`http://${ip}:${METRICS_PORT}/metrics`)).text();
+      assert.match(text, /jasminepost_escaped_errors/);
+    }
+  },
+);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
   type DeclarationFault,
 } from './lib/errors.ts';
 export {newId} from './lib/ids.ts';
+export {installFaultBarrier} from './lib/fault_barrier.ts';
 export {createLogger, type Logger} from './lib/logger.ts';
 export {CounterFamily, Gauge, Histogram, MetricRegistry} from './lib/metrics.ts';
 export {runProgram} from './lib/program.ts';
