Soak: a large configuration over a small link, for seeds from 30000 on

600 kB over a link to the store of 7 Mbit/s that all gateways share, among all other faults. Seeds below draw what they drew before.

--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -25,6 +25,7 @@
   | 'replica says it leaves'
   | 'replica asks for a pause'
   | 'replica names a limit'
+  | 'large configuration over a small link'
   | 'configuration changes';
 
 export interface Fault {
@@ -61,6 +62,11 @@
 const LATER_FROM_SEED = 10_000;
 const NEWEST_KINDS: readonly FaultKind[] = ['replica names a limit'];
 const NEWEST_FROM_SEED = 20_000;
+const LARGE_KINDS: readonly FaultKind[] = ['large configuration over a small link'];
+const LARGE_FROM_SEED = 30_000;
+/** Length of a large configuration, and rate of the link to the store meanwhile. */
+const LARGE_CONFIG_BYTES = 600_000;
+const SMALL_LINK_BYTES_PER_MS = 900;
 const MISBEHAVIOURS: readonly ReplicaFault[] = [
   'sheds',
   'sheds without saying so',
@@ -94,7 +100,9 @@
 export function kindsOf(seed: number): readonly FaultKind[] {
   if (seed < LATER_FROM_SEED) return KINDS;
   const later = [...KINDS, ...LATER_KINDS];
-  return seed < NEWEST_FROM_SEED ? later : [...later, ...NEWEST_KINDS];
+  if (seed < NEWEST_FROM_SEED) return later;
+  const newest = [...later, ...NEWEST_KINDS];
+  return seed < LARGE_FROM_SEED ? newest : [...newest, ...LARGE_KINDS];
 }
 
 /** Faults that begin within `durationMs`, in the order of their beginnings. */
@@ -165,6 +173,8 @@
       return pauseReplica(choose([...fleet.services, ...fleet.engines], pick), forMs);
     case 'replica names a limit':
       return limitReplica(choose([...fleet.services, ...fleet.engines], pick), pick);
+    case 'large configuration over a small link':
+      return growConfiguration(fleet, forMs);
     case 'configuration changes':
       fleet.configure({timeoutMs: 2500 + Math.floor(pick * 1000)});
   }
@@ -264,3 +274,11 @@
   replica.limit = undefined;
   replica.noteOverLimit(Math.max(perS, MIN_LIMIT_PER_S), namedMs);
 }
+
+async function growConfiguration(fleet: UsersFleet, forMs: number): Promise<void> {
+  const link = fleet.storeLink!;
+  link.bytesPerMs = SMALL_LINK_BYTES_PER_MS;
+  fleet.configure({bytes: LARGE_CONFIG_BYTES});
+  await sleep(forMs);
+  link.bytesPerMs = Number.POSITIVE_INFINITY;
+}
