Use no kept connection to the store again beside one that has fallen silent

Found by a new scenario: a gateway whose connections to the store have fallen silent, while new ones work, had a change of the configuration in force after 2406 ms, allowed 2000. It heard of the change from the planner's gateway, ended its silent call, and asked over the next kept connection, silent as well, for 1.5 s. A call whose answer does not begin now ends the use of all connections kept beside it; and the time to ask is judged every 100 ms, not at the planner's next word.

--- a/apps/gateway/src/lib/fleet_feed.ts
+++ b/apps/gateway/src/lib/fleet_feed.ts
@@ -26,7 +26,7 @@
 const CONFIG_WATCH_MS = 10_000;
 /** Others ask the store themselves when they have heard nothing for this long. */
 const RELAY_SILENCE_MS = 1200;
-const RELAY_CHECK_MS = 100;
+const CHECK_MS = 100;
 /** A newer configuration that the planner's gateway has is asked for after this. */
 const CONFIG_BEHIND_MS = 400;
 /**
@@ -100,7 +100,7 @@
       waitMs: () => (this.isRelayed ? CONFIG_WATCH_MS : this.ownWatchMs()),
       gatherMs: () => MIN_GATHER_MS,
     });
-    this.disposer.interval(RELAY_CHECK_MS, () => this.checkRelay());
+    this.disposer.interval(CHECK_MS, () => this.check());
   }
 
   /** True until the first read of the configuration has failed or been answered. */
@@ -205,6 +205,7 @@
     for (const {key, value, revision} of changes) {
       if (key !== CONFIG_KEY || value === undefined) continue;
       this.configRevision = revision;
+      this.behindMs = undefined;
       this.events.onConfig(value, {era: this.config.era, revision});
     }
   }
@@ -212,22 +213,19 @@
   /** A connection that has fallen silent shows only by what others have heard since. */
   private noteConfig(newestRevision: number): void {
     const {config, configRevision} = this;
-    if (newestRevision <= configRevision || config.isAnswering) {
-      this.behindMs = undefined;
-      return;
-    }
-    const nowMs = performance.now();
-    this.behindMs ??= nowMs;
-    if (nowMs - this.behindMs < CONFIG_BEHIND_MS) return;
-    this.behindMs = undefined;
-    this.log.warn('configuration behind, reading it', {configRevision, newestRevision});
-    config.readAnew();
+    if (newestRevision <= configRevision || config.isAnswering) this.behindMs = undefined;
+    else this.behindMs ??= performance.now();
   }
 
-  private checkRelay(): void {
-    const {isRelayed} = this;
-    if (this.wasRelayed && !isRelayed) this.config.askAnew();
+  private check(): void {
+    const {isRelayed, behindMs, config, configRevision: revision} = this;
+    if (this.wasRelayed && !isRelayed) config.askAnew();
     this.wasRelayed = isRelayed;
+    if (behindMs === undefined || performance.now() - behindMs < CONFIG_BEHIND_MS) return;
+    this.behindMs = undefined;
+    if (config.isAnswering) return;
+    this.log.warn('configuration behind, reading it', {revision});
+    config.readAnew();
   }
 
   private onReturn(unheardMs: number): void {
--- a/features/large_configuration.feature
+++ b/features/large_configuration.feature
@@ -38,3 +38,9 @@
     And 3000 ms pass
     And a configuration of 100 kB adds the route "added"
     Then the route "added" is in force at every gateway within 2000 ms
+
+  Scenario: a change when the connections of one gateway to the store have fallen silent
+    Given a users' fleet of 1 service replicas and 3 gateways, whose links to the store pass 875 bytes a ms
+    When the connections of a gateway that does not plan fall silent, and new ones work
+    And a configuration of 100 kB adds the route "added"
+    Then the route "added" is in force at every gateway within 2000 ms
--- a/features/steps/large_configuration_steps.ts
+++ b/features/steps/large_configuration_steps.ts
@@ -113,6 +113,16 @@
   of(this).fleet.silenceStoreLinks();
 });
 
+When(
+  'the connections of a gateway that does not plan fall silent, and new ones work',
+  function (this: FleetWorld) {
+    const {fleet} = of(this);
+    const planner = fleet.plannerIndex();
+    assert.ok(planner >= 0);
+    fleet.silenceStoreLinks([...fleet.gateways.keys()].find(index => index !== planner));
+  },
+);
+
 When('the connections to the store are reset', function (this: FleetWorld) {
   of(this).fleet.storeLink!.reset();
 });
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -117,9 +117,10 @@
     rmSync(this.folder, {recursive: true});
   }
 
-  /** Lets nothing more pass on the gateways' open connections to the store; new ones work. */
-  silenceStoreLinks(): void {
-    for (const link of this.gatewayLinks) link.silence();
+  /** Lets nothing more pass on open connections to the store, of one gateway or all; new ones work. */
+  silenceStoreLinks(gateway?: number): void {
+    const links = gateway === undefined ? this.gatewayLinks : [this.gatewayLinks[gateway]];
+    for (const link of links) link.silence();
   }
 
   hostOf(replica: UsersReplica): string {
--- a/packages/key_value/src/lib/store_http.ts
+++ b/packages/key_value/src/lib/store_http.ts
@@ -51,9 +51,9 @@
 
 /** Counts and makes the calls of one client. @public */
 export class StoreConnection<Kind extends string> {
-  private readonly agent: Agent;
+  private agent: Agent;
   /** For calls that take long; they must not hold up the others. */
-  private readonly longAgent: Agent;
+  private longAgent: Agent;
 
   constructor(
     private readonly origin: string,
@@ -62,9 +62,8 @@
     /** Called with the headers of every answer, also of refusals, before it is taken in. */
     private readonly onHeaders: (headers: StoreHttpHeaders) => void = () => undefined,
   ) {
-    const {connections, connectMs} = limits;
-    this.agent = new Agent({connections, pipelining: 1, connect: {timeout: connectMs}});
-    this.longAgent = new Agent({connect: {timeout: connectMs}});
+    this.agent = this.newAgent();
+    this.longAgent = this.newLongAgent();
   }
 
   /**
@@ -83,24 +82,49 @@
     own?: StoreCallLimits,
   ): Promise<StoreHttpReply> {
     this.calls.increment(kind);
-    return callStore({
-      name: kind,
-      method,
-      url: this.origin + path,
-      body,
-      dispatcher: own?.isLong === true ? this.longAgent : this.agent,
-      startMs: own?.startMs ?? this.limits.startMs,
-      signal: own?.signal,
-      onHeaders: headers => {
-        this.onHeaders(headers);
-        own?.onBegun?.();
-      },
-    });
+    const dispatcher = own?.isLong === true ? this.longAgent : this.agent;
+    let begun = false;
+    try {
+      return await callStore({
+        name: kind,
+        method,
+        url: this.origin + path,
+        body,
+        dispatcher,
+        startMs: own?.startMs ?? this.limits.startMs,
+        signal: own?.signal,
+        onHeaders: headers => {
+          begun = true;
+          this.onHeaders(headers);
+          own?.onBegun?.();
+        },
+      });
+    } catch (thrown) {
+      if (!begun) this.renew(dispatcher);
+      throw thrown;
+    }
   }
 
   async close(): Promise<void> {
     await Promise.all([this.agent.destroy(), this.longAgent.destroy()]);
   }
+
+  /** Connections kept beside one that has fallen silent may be silent as well: none is used again. */
+  private renew(agent: Agent): void {
+    if (agent === this.agent) this.agent = this.newAgent();
+    else if (agent === this.longAgent) this.longAgent = this.newLongAgent();
+    else return;
+    void agent.close();
+  }
+
+  private newAgent(): Agent {
+    const {connections, connectMs} = this.limits;
+    return new Agent({connections, pipelining: 1, connect: {timeout: connectMs}});
+  }
+
+  private newLongAgent(): Agent {
+    return new Agent({connect: {timeout: this.limits.connectMs}});
+  }
 }
 
 async function callStore(call: StoreHttpCall): Promise<StoreHttpReply> {
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -132,10 +132,31 @@
   {
     name: 'every gateway asks the store',
     file: 'apps/gateway/src/lib/fleet_feed.ts',
-    find: 'else if (this.isRelayed)',
-    replace: 'else if (false)',
+    find: 'this.isRelayed ? undefined : this.ownWatchMs()',
+    replace: 'this.ownWatchMs()',
     features: ['features/users_platform.feature', '--name', 'hear of the store'],
   },
+  {
+    name: 'each failed call counts as an outage of the store',
+    file: 'apps/gateway/src/lib/fleet_feed.ts',
+    find: 'if (unheardMs < OUTAGE_INTERVALS * this.replicaIntervalMs) return;',
+    replace: '',
+    features: ['features/large_configuration.feature', '--name', 'entry is removed'],
+  },
+  {
+    name: 'an answer that comes in is not waited for',
+    file: 'packages/key_value/src/lib/answer_patience.ts',
+    find: 'this.timer.refresh();',
+    replace: '',
+    features: ['features/large_configuration.feature', '--name', 'of the largest configuration'],
+  },
+  {
+    name: 'what the planner tells of a newer configuration is not heard',
+    file: 'apps/gateway/src/lib/fleet_feed.ts',
+    find: 'if (behindMs === undefined || performance.now() - behindMs < CONFIG_BEHIND_MS) return;',
+    replace: 'return;',
+    features: ['features/large_configuration.feature', '--name', 'connections of one gateway'],
+  },
   {
     name: 'a planner drops its term when the store is silent',
     file: 'packages/key_value/src/lib/term_lease.ts',
