Read everything anew only after an answer that broke off, not after a refusal

Found when reading the change again: a refusal by the store (503) began an answer, too, so that each gateway read the whole configuration once more on its return, and word of a new era ended a read that it had just begun, every 500 ms. 17 scenarios of two features pass.

--- a/apps/gateway/src/lib/store_follower.ts
+++ b/apps/gateway/src/lib/store_follower.ts
@@ -111,7 +111,7 @@
     revision: number,
     changes: readonly StoreChange[],
   ): readonly StoreChange[] | undefined {
-    if (era > this.knownEra) this.readAnew();
+    if (era > this.knownEra && this.knownRevision >= 0) this.readAnew();
     if (era !== this.knownEra || this.knownRevision < 0 || since > this.knownRevision) {
       return undefined;
     }
--- a/packages/key_value/src/lib/store_http.ts
+++ b/packages/key_value/src/lib/store_http.ts
@@ -14,9 +14,10 @@
   readonly dispatcher: Dispatcher;
   readonly startMs: number;
   readonly signal: AbortSignal | undefined;
-  readonly onHeaders: (headers: StoreHttpHeaders) => void;
+  readonly onHeaders: (headers: StoreHttpHeaders, status: number) => void;
 }
 
+const STATUS_OK = 200;
 /** A body is sent at this rate at the least, in bytes per millisecond. */
 const LEAST_UPLOAD_BYTES_PER_MS = 100;
 
@@ -45,7 +46,7 @@
   readonly signal?: AbortSignal;
   /** True for a call that waits for changes or reads much; it gets a connection of its own. */
   readonly isLong?: boolean;
-  /** Called when the answer begins. */
+  /** Called when the answer begins, unless it is a refusal. */
   readonly onBegun?: () => void;
 }
 
@@ -93,10 +94,10 @@
         dispatcher,
         startMs: own?.startMs ?? this.limits.startMs,
         signal: own?.signal,
-        onHeaders: headers => {
+        onHeaders: (headers, status) => {
           begun = true;
           this.onHeaders(headers);
-          own?.onBegun?.();
+          if (status === STATUS_OK) own?.onBegun?.();
         },
       });
     } catch (thrown) {
@@ -142,7 +143,7 @@
       signal: patience.signal,
     });
     patience.onBegun();
-    onHeaders(res.headers);
+    onHeaders(res.headers, res.statusCode);
     const chunks: Buffer[] = [];
     for await (const chunk of res.body) {
       patience.onBytes((chunk as Buffer).length);
