Log the shared prompt parts of sent requests, and whether a failed attempt had an event

The logs could not tell the hypotheses about crashing prompt parts apart: no line named a request's parts.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -13,6 +13,7 @@
   selectBackend,
   EMPTY_GENERATION,
   maxTokens,
+  sharedPartIds,
   type GenerationParams,
   type Route,
 } from '@jasminepost/serving';
@@ -62,6 +63,8 @@
   private readonly content: RequestContent;
   private readonly crashGate: CrashGate;
   private readonly isRetryable: boolean;
+  /** Ids of the prompt's parts that other requests may hold, too. */
+  private readonly sharedParts: readonly string[];
 
   constructor(
     private readonly ctx: GatewayContext,
@@ -74,6 +77,7 @@
   ) {
     this.arrivedMs = startedMs;
     this.content = {method: req.method ?? 'GET', path: req.url ?? '/', body};
+    this.sharedParts = sharedPartIds(this.generation);
     this.crashGate = new CrashGate(ctx.crashes, this.content);
     this.service = selectBackend(route, head.requestId);
     this.priority = route.priority;
@@ -123,6 +127,7 @@
       waitedMs: Math.round(nowMs - this.arrivedMs),
       leftMs: Math.round(this.deadlineMs - nowMs),
       config: this.ctx.configVersion(),
+      ...(this.sharedParts.length > 0 ? {parts: this.sharedParts.join(',')} : {}),
       ...logFields,
     });
     const isCurrent = () => attempt.isLive && !this.finished;
@@ -273,6 +278,7 @@
   private onAttemptFailed(failure: AttemptFailure, countsAgainstReplica: boolean): void {
     const {clock, log, metrics} = this.ctx;
     const {replica, sentMs} = this.attempt!;
+    const hadFirstEvent = this.attempt!.firstEventMs > 0;
     const nowMs = clock.monotonicMs();
     if (countsAgainstReplica) replica.recordEvent({kind: 'failed'}, nowMs);
     this.endAttempt();
@@ -302,6 +308,7 @@
       detail: failure.detail,
       decision: decision.kind,
       cause: decision.kind === 'give_up' ? decision.cause : '',
+      hadEvent: hadFirstEvent,
       tookMs: Math.round(nowMs - sentMs),
     });
     if (decision.kind === 'retry' || decision.kind === 'resume') {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -22,6 +22,7 @@
 export {
   EMPTY_GENERATION,
   maxTokens,
+  sharedPartIds,
   type GenerationParams,
   type PromptPart,
 } from './lib/generation_params.ts';
--- a/packages/serving/src/lib/generation_params.ts
+++ b/packages/serving/src/lib/generation_params.ts
@@ -36,3 +36,14 @@
 export function maxTokens(generation: GenerationParams | undefined): number {
   return generation === undefined ? 0 : generation.tokensIn + generation.maxTokensOut;
 }
+
+/**
+ * Ids of the prompt's parts that other requests may hold, too: all but the last.
+ *
+ * @example
+ * sharedPartIds({...params, parts: [{id: 'aa', tokens: 50}, {id: 'bb', tokens: 9}]}); // ['aa']
+ * @public
+ */
+export function sharedPartIds({parts}: GenerationParams): string[] {
+  return parts.slice(0, -1).map(({id}) => id);
+}
