Show that requests sharing a crashing prompt part crash one engine after the other

Callers beside such requests lose their streams with each crash. The log lines of a request move into a class of their own.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -13,7 +13,6 @@
   selectBackend,
   EMPTY_GENERATION,
   maxTokens,
-  sharedPartIds,
   type GenerationParams,
   type Route,
 } from '@jasminepost/serving';
@@ -21,6 +20,7 @@
 import {ResponseRelay, sendLocalResponse} from './response_relay.ts';
 import {Attempt} from './attempt.ts';
 import {isFromOtherReplica, recordResponseHead} from './response_head.ts';
+import {RequestLog} from './request_log.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RequestContent} from './crash_detector.ts';
 import type {QueuedGeneration} from './generation_queue.ts';
@@ -63,8 +63,7 @@
   private readonly content: RequestContent;
   private readonly crashGate: CrashGate;
   private readonly isRetryable: boolean;
-  /** Ids of the prompt's parts that other requests may hold, too. */
-  private readonly sharedParts: readonly string[];
+  private readonly log: RequestLog;
 
   constructor(
     private readonly ctx: GatewayContext,
@@ -77,7 +76,7 @@
   ) {
     this.arrivedMs = startedMs;
     this.content = {method: req.method ?? 'GET', path: req.url ?? '/', body};
-    this.sharedParts = sharedPartIds(this.generation);
+    this.log = new RequestLog(ctx, head, route, startedMs);
     this.crashGate = new CrashGate(ctx.crashes, this.content);
     this.service = selectBackend(route, head.requestId);
     this.priority = route.priority;
@@ -112,24 +111,14 @@
 
   /** Sends the request to a replica; `logFields` are the inputs of the choice of replica. */
   send(replica: Replica, logFields: Readonly<Record<string, unknown>>): void {
-    const {clock, log, metrics} = this.ctx;
+    const {clock, metrics} = this.ctx;
     const nowMs = clock.monotonicMs();
     const attempt = new Attempt(replica, nowMs, maxTokens(this.head.generation));
     this.attempt = attempt;
     this.sendCount += 1;
     replica.recordEvent({kind: 'sent'}, nowMs);
     metrics.waited.recordMs(nowMs - this.arrivedMs);
-    log.info('request sent', {
-      requestId: this.head.requestId,
-      route: this.route.name,
-      replica: replica.id,
-      send: this.sendCount,
-      waitedMs: Math.round(nowMs - this.arrivedMs),
-      leftMs: Math.round(this.deadlineMs - nowMs),
-      config: this.ctx.configVersion(),
-      ...(this.sharedParts.length > 0 ? {parts: this.sharedParts.join(',')} : {}),
-      ...logFields,
-    });
+    this.log.sent(attempt, this.sendCount, this.deadlineMs, logFields);
     const isCurrent = () => attempt.isLive && !this.finished;
     this.exchange = replica.client.send(
       {
@@ -276,9 +265,8 @@
 
   /** @param countsAgainstReplica - True when the failure indicates that the replica is faulty. */
   private onAttemptFailed(failure: AttemptFailure, countsAgainstReplica: boolean): void {
-    const {clock, log, metrics} = this.ctx;
-    const {replica, sentMs} = this.attempt!;
-    const hadFirstEvent = this.attempt!.firstEventMs > 0;
+    const {clock, metrics} = this.ctx;
+    const {replica} = this.attempt!;
     const nowMs = clock.monotonicMs();
     if (countsAgainstReplica) replica.recordEvent({kind: 'failed'}, nowMs);
     this.endAttempt();
@@ -300,17 +288,7 @@
       maxAttempts: isNotRun ? MAX_NOT_RUN_SENDS : this.route.maxAttempts,
       takeToken: () => this.ctx.retryBudget(this.service).tryRetry(this.ctx.gateways(), nowMs),
     });
-    log.info('attempt failed', {
-      requestId: this.head.requestId,
-      replica: replica.id,
-      verdict: verdict.kind,
-      reason: verdict.reason,
-      detail: failure.detail,
-      decision: decision.kind,
-      cause: decision.kind === 'give_up' ? decision.cause : '',
-      hadEvent: hadFirstEvent,
-      tookMs: Math.round(nowMs - sentMs),
-    });
+    this.log.attemptFailed({attempt: this.attempt!, ...failure, decision});
     if (decision.kind === 'retry' || decision.kind === 'resume') {
       this.relay.discardPartial();
       metrics.retries.increment(verdict.reason);
@@ -379,22 +357,7 @@
     clearTimeout(this.timer);
     this.crashGate.dispose();
     this.ctx.metrics.endings.increment(outcome);
-    const nowMs = this.ctx.clock.monotonicMs();
-    const firstEventMs = this.attempt?.firstEventMs ?? 0;
-    this.ctx.log.info('request ended', {
-      requestId: this.head.requestId,
-      route: this.route.name,
-      service: this.service,
-      model: this.head.generation?.model ?? '',
-      adapter: this.head.generation?.adapter ?? '',
-      ending: outcome,
-      sends: this.sendCount,
-      tookMs: Math.round(nowMs - this.arrivedMs),
-      firstEventMs: firstEventMs === 0 ? -1 : Math.round(firstEventMs - this.arrivedMs),
-      targetMs: this.route.targetLatencyMs,
-      config: this.ctx.configVersion(),
-      ...logFields,
-    });
+    this.log.ended(outcome, this.service, this.sendCount, this.attempt, logFields);
     this.ctx.onFinished(this);
   }
 
--- /dev/null
+++ b/features/crashing_prompt_parts.feature
@@ -0,0 +1,25 @@
+Feature: Prompt parts that crash engines
+
+  # Requests that share a crashing prompt part, no two of them alike, crashed one engine after the other.
+  Scenario Outline: new requests with a crashing prompt part stop reaching engines, <trouble>
+    Given a users' fleet of 0 service replicas, 6 engines and 3 gateway
+    And drafts with the prompt part "dead" crash their engines, which restart
+    When callers send drafts for 24 s, of which every eighth has the part "dead", and <trouble>
+    Then at most 3 drafts with a crashing part reach engines later than 3000 ms after the fifth crash
+    And sound drafts are served at least half as often after the crashes as before
+
+    Examples:
+      | trouble                              |
+      | nothing else happens                 |
+      | the planner's gateway is killed      |
+      | the store is away for 4 s            |
+      | all gateways are killed, and restart |
+      | other engines crash                  |
+
+  # Two crashing parts at once must not hide each other.
+  Scenario: new requests with two crashing prompt parts stop reaching engines
+    Given a users' fleet of 0 service replicas, 6 engines and 3 gateway
+    And drafts with the prompt parts "dead" and "fatal" crash their engines, which restart
+    When callers send drafts for 24 s, of which every eighth has the part "dead" or "fatal"
+    Then at most 3 drafts with a crashing part reach engines later than 3000 ms after the fifth crash
+    And sound drafts are served at least half as often after the crashes as before
--- a/soak/soak_checks.ts
+++ b/soak/soak_checks.ts
@@ -1,6 +1,6 @@
 /** Guarantees that a soak checks, from what callers and replicas observed. */
 import type {UsersFleet} from '../features/support/users_fleet.ts';
-import type {RecordedRequest} from '../stand_ins/users_platform/replica.ts';
+import type {RecordedRequest} from '../stand_ins/users_platform/recorded_request.ts';
 import type {SoakCall} from './soak_load.ts';
 
 /** Statuses that guarantee that the request has not run. */
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -4,19 +4,10 @@
 import {resetConnection, sleep} from '@jasminepost/core';
 import {sendJson} from '../json_server.ts';
 import {writeEndless, type EndlessResponse} from './endless_response.ts';
+import {sharedParts, type RecordedRequest} from './recorded_request.ts';
 import {maxOverLimit} from './rate_limit_window.ts';
 import type {ReplicaFault} from './replica_fault.ts';
 
-export interface RecordedRequest {
-  readonly id: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: IncomingMessage['headers'];
-  readonly body: string;
-  /** True if the caller closed the connection before the end of the response. */
-  abandoned: boolean;
-}
-
 interface Order {
   readonly operation: 'loading' | 'unloading';
   readonly model: string;
@@ -70,6 +61,8 @@
   endlessConnections = 0;
   /** A request with this body crashes the replica. */
   crashingBody: string | undefined;
+  /** Requests with one of these parts in their prompt, but not as the last, crash the replica. */
+  crashingParts: ReadonlySet<string> = new Set();
   /** Time from such a request to the crash, even if its caller disconnects. */
   crashAfterMs = 0;
   onCrash: () => void = () => undefined;
@@ -213,6 +206,7 @@
       path: req.url ?? '',
       headers: req.headers,
       body,
+      arrivedMs: performance.now(),
       abandoned: false,
     };
     this.runs.push(request);
@@ -222,7 +216,12 @@
       return this.crash(startCount);
     }
     res.on('close', () => (request.abandoned = !res.writableFinished));
+    const {startCount} = this;
     await sleep(this.workMs);
+    if (sharedParts(request).some(part => this.crashingParts.has(part))) {
+      this.crash(startCount);
+      return;
+    }
     await this.respond(request, req, res);
   }
 
