Treat a stream that ends inside an event as broken off, and its end as no proof of a sound run

Callers of a stream that cannot be resumed got a part of it as a complete answer when the replica ended inside an event, with or without a length. Where a response has neither length nor chunks, a crash looked like its end: the request counted as completed and cleared the prompt part that had crashed the replica.

Cause: the end of a connection was taken for the end of the response. Events are now checked in every event stream, not only in resumable ones; a stream without a length that has no event at all is broken off, too. A response that ends with its connection clears its request only once the replica is seen alive, and counts as a failure if the replica turns out to have ended. Responses other than 2xx clear nothing.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -251,16 +251,20 @@
     replica.recordEvent({kind: 'answered'}, nowMs);
     replica.recordServiceTime(nowMs - sentMs);
     this.endAttempt();
-    if (this.relay.endsMidEvent) {
+    if (this.relay.isBrokenOff) {
       this.crashGate.onCut(replica, sentMs);
       this.onAttemptFailed(
-        {verdict: mayHaveRun('upstream_cut'), detail: 'response ended within an event'},
+        {verdict: mayHaveRun('upstream_cut'), detail: 'stream broken off'},
         false,
       );
       return;
     }
     this.relay.end();
-    this.crashGate.onCompleted();
+    // An error response says nothing about what would happen if a replica ran the request.
+    if (this.res.statusCode < 300) {
+      if (this.relay.isCloseDelimited) this.crashGate.onUnclearEnd(replica, sentMs);
+      else this.crashGate.onCompleted();
+    }
     this.finish('answered', {replica: replica.id, status: this.res.statusCode});
   }
 
@@ -291,7 +295,7 @@
     });
     this.log.attemptFailed({attempt: this.attempt!, ...failure, decision});
     if (decision.kind === 'retry' || decision.kind === 'resume') {
-      this.relay.discardPartial();
+      this.relay.startAttempt();
       metrics.retries.increment(verdict.reason);
       this.checkAndSubmit();
       return;
--- a/apps/gateway/src/lib/response_relay.ts
+++ b/apps/gateway/src/lib/response_relay.ts
@@ -11,6 +11,8 @@
 export class ResponseRelay {
   /** True once the response head has been sent to the caller. */
   headSent = false;
+  /** True when only the end of the connection marks the end of the current response. */
+  isCloseDelimited = false;
   private eventBuffer: SseEventBuffer | undefined;
 
   /** @param resumable - True when the response may be continued by another attempt. */
@@ -22,12 +24,17 @@
 
   /** Id of the last event sent to the caller in a resumable stream; empty before the first. */
   get lastEventId(): string {
-    return this.eventBuffer?.lastEventId ?? '';
+    return this.resumable ? (this.eventBuffer?.lastEventId ?? '') : '';
   }
 
-  /** True when the response ended in the middle of an event. */
-  get endsMidEvent(): boolean {
-    return this.eventBuffer?.hasPartial === true;
+  /**
+   * True when the response that has just ended was broken off: in the middle of an event, or before
+   * the first one where only the end of the connection marks the end of the stream.
+   */
+  get isBrokenOff(): boolean {
+    if (this.eventBuffer === undefined) return false;
+    const isEmpty = this.isCloseDelimited && !this.eventBuffer.hasEvents;
+    return this.eventBuffer.hasPartial || isEmpty;
   }
 
   /** True when the replica sends an event that exceeds the size limit. */
@@ -37,12 +44,15 @@
 
   /** Sends the response head; a resumed response keeps the head of an earlier attempt. */
   head(head: ReplicaResponseHead, closeConnection: boolean): void {
-    if (this.headSent) return;
-    this.headSent = true;
-    if (this.resumable && head.status === 200) this.eventBuffer = new SseEventBuffer();
     const hasNoBody =
       this.method === 'HEAD' || head.status === NO_CONTENT || head.status === NOT_MODIFIED;
     const isCloseDelimited = head.isCloseDelimited && !hasNoBody;
+    this.isCloseDelimited = isCloseDelimited;
+    if (this.headSent) return;
+    this.headSent = true;
+    if (head.status === 200 && (this.resumable || head.isEventStream)) {
+      this.eventBuffer = new SseEventBuffer();
+    }
     // Whether the replica's body is complete can't be known. A final chunk would claim that it is,
     // so the response to the caller is delimited by the end of the connection, too.
     if (isCloseDelimited) this.res.useChunkedEncodingByDefault = false;
@@ -67,9 +77,9 @@
     return hasCapacity;
   }
 
-  /** Discards an event of which the last attempt sent only a part. */
-  discardPartial(): void {
-    this.eventBuffer?.discardPartial();
+  /** Prepares for another attempt; discards an event of which the last one sent only a part. */
+  startAttempt(): void {
+    this.eventBuffer?.startAttempt();
   }
 
   end(): void {
--- a/features/crashing_prompt_parts.feature
+++ b/features/crashing_prompt_parts.feature
@@ -23,3 +23,12 @@
     When callers send drafts for 24 s, of which every eighth has the part "dead" or "fatal"
     Then at most 3 drafts with a crashing part reach engines later than 3000 ms after the fifth crash
     And sound drafts are served at least half as often after the crashes as before
+
+  # A response that ended with its connection counted as complete, so that the crash cleared its part.
+  Scenario: new requests with a crashing part stop reaching engines whose streams have no length
+    Given a users' fleet of 0 service replicas, 6 engines and 3 gateway
+    And drafts with the prompt part "dead" crash their engines, which restart
+    And the engines' streams have the fault "no length"
+    When callers send drafts for 24 s, of which every eighth has the part "dead", and nothing else happens
+    Then at most 3 drafts with a crashing part reach engines later than 3000 ms after the fifth crash
+    And sound drafts are served at least half as often after the crashes as before
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -4,6 +4,7 @@
 import {resetConnection, sleep} from '@jasminepost/core';
 import {sendJson} from '../json_server.ts';
 import {writeEndless, type EndlessResponse} from './endless_response.ts';
+import {streamEvents, writeStreamHead, type StreamFault} from './replica_stream.ts';
 import {sharedParts, type RecordedRequest} from './recorded_request.ts';
 import {maxOverLimit} from './rate_limit_window.ts';
 import type {ReplicaFault} from './replica_fault.ts';
@@ -17,7 +18,6 @@
   readonly fencingToken: number;
 }
 
-const STREAM_EVENTS = 4;
 const ADAPTER_LOAD_MS = 10;
 /** Time for requests that were in flight when the replica asked for a pause. */
 const PAUSE_SLACK_MS = 500;
@@ -29,6 +29,7 @@
 
 export class UsersReplica {
   fault: ReplicaFault = 'none';
+  streamFault: StreamFault = 'none';
   /** Additional headers of all its responses. */
   extraHeaders: Readonly<Record<string, string>> = {};
   /** Value of the `server-limit` header in each response: requests a second; undefined for none. */
@@ -219,6 +220,7 @@
     const {startCount} = this;
     await sleep(this.workMs);
     if (sharedParts(request).some(part => this.crashingParts.has(part))) {
+      if (this.streamFault === 'no length') await writeStreamHead(this.ownHeaders(request), res);
       this.crash(startCount);
       return;
     }
@@ -247,13 +249,18 @@
     return false;
   }
 
+  /** Headers that identify this replica's response. */
+  private ownHeaders({id}: RecordedRequest): Record<string, string> {
+    const signature = {'response-signature': `sig.${this.id}.${id}`};
+    return {'request-id': id, 'server-load': '1,0,8', ...signature};
+  }
+
   private async respond(
     request: RecordedRequest,
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const signature = {'response-signature': `sig.${this.id}.${request.id}`};
-    const headers = {'request-id': request.id, 'server-load': '1,0,8', ...signature};
+    const headers = this.ownHeaders(request);
     const text = `answer of ${this.id} to ${request.id}`;
     const contentLength = {'content-length': String(text.length)};
     const {socket} = req;
@@ -300,33 +307,21 @@
       case 'sheds':
       case 'cut in an event':
       case 'none':
-        if (this.isEngine) await this.stream(headers, req, res);
+        if (this.isEngine)
+          await streamEvents(
+            {
+              fault: this.streamFault,
+              cutsEvent: this.fault === 'cut in an event',
+              eventMs: this.eventMs,
+            },
+            headers,
+            req,
+            res,
+          );
         else res.writeHead(200, {...headers, ...contentLength}).end(text);
     }
   }
 
-  private async stream(
-    headers: Record<string, string>,
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const cut = this.fault === 'cut in an event';
-    res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
-    const firstId = Number(req.headers['last-event-id'] ?? 0) + 1;
-    for (let id = firstId; id <= STREAM_EVENTS; id++) {
-      if (res.destroyed) return;
-      const event = `id: ${id}\ndata: piece ${id}\n\n`;
-      if (cut && id === 3) {
-        res.write(event.slice(0, 8));
-        setTimeout(() => req.socket.destroy(), 10);
-        return;
-      }
-      res.write(event);
-      await sleep(this.eventMs);
-    }
-    res.end();
-  }
-
   private sendReport(res: ServerResponse): void {
     sendJson(res, 200, {
       stage: 'unified',
