Take a response only for the request whose id it carries

Callers got 503, 'not run', for an order that a replica was running: an earlier refusal, written again on a kept connection, was believed where it carried no id. The pause, load and rate limit that such a response states were recorded before the id was compared, so that the replica got no requests for that time.

A response with another id or none ends the attempt as one that may have run, closes the connection, and changes nothing that is known about the replica.

The stand-in's refusals repeat the id now, as the platform's do.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -189,12 +189,14 @@
   private onHead(head: ReplicaResponseHead): void {
     const {replica, sentMs} = this.attempt!;
     const nowMs = this.ctx.clock.monotonicMs();
-    recordResponseHead(this.ctx, this.attempt!, head);
-    if (head.requestId !== '' && head.requestId !== this.head.requestId) {
-      // The response belongs to another request, so responses on this connection are out of order.
-      this.abortAttempt('response to another request');
+    if (head.requestId !== this.head.requestId) {
+      // Responses on this connection are out of order: this one may be a repeated earlier response.
+      this.abortAttempt(
+        head.requestId === '' ? 'response without id' : 'response to another request',
+      );
       return;
     }
+    recordResponseHead(this.ctx, this.attempt!, head);
     if (head.status !== 421) replica.onResponse(sentMs, nowMs);
     if (head.notRun) {
       if (isFromOtherReplica(head, replica)) replica.addressReassigned = true;
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -5,6 +5,7 @@
 import {sendJson} from '../json_server.ts';
 import {writeEndless, type EndlessResponse} from './endless_response.ts';
 import {streamEvents, writeStreamHead, type StreamFault} from './replica_stream.ts';
+import type {RepeatedRefusal} from './repeated_refusal.ts';
 import {sharedParts, type RecordedRequest} from './recorded_request.ts';
 import {maxOverLimit} from './rate_limit_window.ts';
 import type {ReplicaFault} from './replica_fault.ts';
@@ -30,6 +31,8 @@
 export class UsersReplica {
   fault: ReplicaFault = 'none';
   streamFault: StreamFault = 'none';
+  /** Refuses requests, and writes the refusals again; undefined for none. */
+  repeatedRefusal: RepeatedRefusal | undefined;
   /** Additional headers of all its responses. */
   extraHeaders: Readonly<Record<string, string>> = {};
   /** Value of the `server-limit` header in each response: requests a second; undefined for none. */
@@ -201,6 +204,7 @@
     if (req.url === '/-/order') return this.handleOrder(JSON.parse(body) as Order, req, res);
     this.arrivalsMs.push(performance.now());
     if (this.tryRefuse(req, res)) return;
+    if (this.repeatedRefusal?.refuseOrRepeat(req, res) === true) return;
     const request: RecordedRequest = {
       id: String(req.headers['request-id']),
       method: req.method ?? '',
@@ -229,21 +233,22 @@
 
   private tryRefuse(req: IncomingMessage, res: ServerResponse): boolean {
     const expected = req.headers['expect-instance'];
+    const refusal = {'request-id': String(req.headers['request-id']), 'content-length': '0'};
     if (expected !== undefined && expected !== this.id) {
-      res.writeHead(421, {'instance-id': this.id, 'content-length': '0'}).end();
+      res.writeHead(421, {...refusal, 'instance-id': this.id}).end();
       return true;
     }
     const [model, adapter] = String(req.headers.model ?? '').split('/');
     const adapters = this.models.get(model);
     const missing = adapters === undefined || (adapter !== undefined && !adapters.has(adapter));
     if (this.isEngine && missing) {
-      res.writeHead(421, {'instance-id': this.id, 'content-length': '0'}).end();
+      res.writeHead(421, {...refusal, 'instance-id': this.id}).end();
       return true;
     }
     if (this.fault === 'sheds') {
       const retryAfter = this.retryAfter === undefined ? {} : {'retry-after': this.retryAfter};
       if (this.retryAfter !== undefined) this.noticeSentMs ??= performance.now();
-      res.writeHead(503, {'not-executed': '1', 'content-length': '0', ...retryAfter}).end();
+      res.writeHead(503, {...refusal, 'not-executed': '1', ...retryAfter}).end();
       return true;
     }
     return false;
