Let an odd entry among those of the replicas cost only itself

One entry of another writer, with a host that is no host, threw in the middle of a batch of changes. The store position had been advanced before, so that this gateway never learnt of the changes that came after it in the batch, such as new replicas or drains, and a gateway that started with such an entry was never ready. Entries with port 0, an empty port, 1e2, slots of 0, 2.5 or 1e308, or a line break in the id were used for requests.

Cause: the decoder checked less than what the code behind it relies on, and one handler's error ended the loop over all changes.

--- a/apps/gateway/src/lib/fleet_watcher.ts
+++ b/apps/gateway/src/lib/fleet_watcher.ts
@@ -3,7 +3,7 @@
  * role. Every gateway watches the configuration itself. All other changes are relayed by the
  * planner's gateway; the others watch them at the store only while no relayed changes arrive.
  */
-import {Disposer, type Logger} from '@jasminepost/core';
+import {Disposer, errorMessage, type Logger} from '@jasminepost/core';
 import type {StoreChangesMessage} from '@jasminepost/mesh';
 import {
   CONFIG_KEY,
@@ -174,7 +174,7 @@
       deletedKeys.delete(change.key);
       this.dispatch(change);
     }
-    for (const key of deletedKeys) this.events.onOtherChange({key, revision, value: undefined});
+    for (const key of deletedKeys) this.notifyOther({key, revision, value: undefined});
   }
 
   private applyChanges(changes: readonly StoreChange[], since: number): void {
@@ -198,10 +198,19 @@
     }
     if (change.value === undefined) this.otherKeys.delete(change.key);
     else this.otherKeys.add(change.key);
-    this.events.onOtherChange(change);
+    this.notifyOther(change);
     return true;
   }
 
+  /** Passes on a change of another key; one that can't be handled must not hide the next ones. */
+  private notifyOther(change: StoreChange): void {
+    try {
+      this.events.onOtherChange(change);
+    } catch (thrown) {
+      this.log.error('store change not applied', {key: change.key, error: errorMessage(thrown)});
+    }
+  }
+
   private applyConfig(changes: readonly StoreChange[]): void {
     for (const {key, value, revision} of changes) {
       if (key !== CONFIG_KEY || value === undefined) continue;
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -1,5 +1,5 @@
 /** All replicas in the platform's list, indexed by the models that they have loaded. */
-import type {Clock, Logger} from '@jasminepost/core';
+import {errorMessage, type Clock, type Logger} from '@jasminepost/core';
 import {decodeReplicaRegistration, ReplicaClient, type StoreChange} from '@jasminepost/platform';
 import {incarnationId, type ReplicaRegistration, type Service} from '@jasminepost/serving';
 import {Replica} from './replica.ts';
@@ -87,12 +87,19 @@
     }
     this.missingKeys.delete(change.key);
     const decoded = decodeReplicaRegistration(change.key, change.value);
-    if (decoded.ok) {
+    if (!decoded.ok) {
+      this.skipMalformed(change.key, decoded.error);
+      return true;
+    }
+    try {
+      const matters = this.upsert(decoded.value);
       this.malformed.delete(change.key);
-      return this.upsert(decoded.value);
+      return matters;
+    } catch (thrown) {
+      // The changes after this one must still be applied.
+      this.skipMalformed(change.key, errorMessage(thrown));
+      return true;
     }
-    this.skipMalformed(change.key, decoded.error);
-    return true;
   }
 
   /** Number of gateways: the largest number of links that a steward reports. */
--- a/stand_ins/users_platform/metadata_store.ts
+++ b/stand_ins/users_platform/metadata_store.ts
@@ -76,7 +76,11 @@
   /** Writes a key as the operator or a replica does. */
   put(key: string, value: unknown): void {
     const text = typeof value === 'string' ? value : JSON.stringify(value);
-    this.set(key, Buffer.from(text).toString('base64'), 0);
+    this.putBytes(key, Buffer.from(text));
+  }
+
+  putBytes(key: string, bytes: Buffer): void {
+    this.set(key, bytes.toString('base64'), 0);
   }
 
   remove(key: string): void {
