Continue a stream only at the software version that began it

Replicas of several software versions may serve a service side by side, and their outputs don't fit together. A stream that was cut continued at whichever replica was chosen next, and so did one that its caller resumed, so that callers got events of two versions in one stream.

The version of a replica's software is decoded, and belongs to the incarnation. A stream is bound to the version of its first event. A gateway remembers at which version streams began, and serves a resumed one at that version, or refuses it at once as not run: when no usable replica has the version, or when several versions have served lately and it does not know the beginning.

What is missing: gateways do not tell each other where streams began, so that a stream resumed at another gateway is refused while two versions serve.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -22,6 +22,7 @@
 import {Attempt} from './attempt.ts';
 import {isFromOtherReplica, recordResponseHead} from './response_head.ts';
 import {RequestLog} from './request_log.ts';
+import {StreamVersionGate} from './stream_version_gate.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RequestContent} from './crash_suspects.ts';
 import type {QueuedGeneration} from './generation_queue.ts';
@@ -36,6 +37,8 @@
 /** Minimum time that a replica needs for a request; with less time left, it is not retried. */
 const MIN_SERVICE_MS = 40;
 const DEFAULT_RETRY_AFTER_MS = 300;
+/** Another gateway may know at which version the stream began. */
+const UNKNOWN_VERSION_RETRY_AFTER_MS = 100;
 
 /** Why an attempt failed, and whether the request may have run. */
 type AttemptFailure = Readonly<{verdict: Verdict; detail: string}>;
@@ -65,6 +68,7 @@
   private readonly crashGate: CrashGate;
   private readonly isRetryable: boolean;
   private readonly log: RequestLog;
+  private readonly versionGate: StreamVersionGate;
 
   constructor(
     private readonly ctx: GatewayContext,
@@ -80,6 +84,7 @@
     this.log = new RequestLog(ctx, head, route, startedMs);
     this.crashGate = new CrashGate(ctx.crashes, this.content, sharedPartIds(this.generation));
     this.service = selectBackend(route, head.requestId);
+    this.versionGate = new StreamVersionGate(ctx, head, route, this.service);
     this.priority = route.priority;
     this.isDelayTolerant = route.targetLatencyMs >= DELAY_TOLERANT_TARGET_MS;
     this.isRetryable = route.kind === 'idempotent' || route.resumable;
@@ -102,12 +107,18 @@
     return this.head.generation ?? EMPTY_GENERATION;
   }
 
+  get requiredVersion(): string | undefined {
+    return this.versionGate.requiredVersion;
+  }
+
   start(): void {
     const {clock} = this.ctx;
     this.timer = setTimeout(() => this.onDeadline(), this.deadlineMs - clock.monotonicMs());
     onCallerDisconnect(this.res, () => this.onCallerGone());
     this.ctx.retryBudget(this.service).countFirstAttempt(clock.monotonicMs());
-    this.checkAndSubmit();
+    if (this.versionGate.isBeginningUnknown())
+      this.refuse('stream_version_unknown', UNKNOWN_VERSION_RETRY_AFTER_MS, {});
+    else this.checkAndSubmit();
   }
 
   /** Sends the request to a replica; `logFields` are the inputs of the choice of replica. */
@@ -178,6 +189,10 @@
 
   /** Hands the request to the queue for its service, which sends it at once where it can. */
   private submitToQueue(): void {
+    if (this.versionGate.isVersionGone()) {
+      this.refuse('stream_version_gone', DEFAULT_RETRY_AFTER_MS, {version: this.requiredVersion});
+      return;
+    }
     const engine = this.ctx.engineOf(this.service);
     if (engine !== undefined && this.head.generation !== undefined) {
       this.ctx.generations.submit(this);
@@ -238,6 +253,7 @@
 
   private onFirstEvent(attempt: Attempt): void {
     const nowMs = this.ctx.clock.monotonicMs();
+    if (this.relay.isStream) this.versionGate.onFirstEvent(attempt.replica);
     const elapsedMs = attempt.onFirstEvent(nowMs);
     this.ctx.metrics.firstEvent.recordMs(nowMs - this.arrivedMs);
     const {generation} = this.head;
--- a/apps/gateway/src/lib/engine_selector.ts
+++ b/apps/gateway/src/lib/engine_selector.ts
@@ -58,11 +58,9 @@
    */
   select(request: QueuedGeneration, waiting: number): EngineSelection {
     const {ctx} = this;
-    const {service, generation} = request;
+    const {generation} = request;
     const nowMs = ctx.clock.monotonicMs();
-    const replicas = ctx.table
-      .withModel(service, generation.model)
-      .filter(replica => !request.excluded.has(replica.id));
+    const replicas = this.replicasFor(request);
     if (replicas.length === 0) return {kind: 'no_holder'};
     const accepting = replicas.filter(replica => replica.eligibilityAt(nowMs) !== 'no');
     if (accepting.length === 0) return {kind: 'paused'};
@@ -144,9 +142,12 @@
     return {kind: 'found', replica, candidate};
   }
 
-  private replicasFor({service, generation, excluded}: QueuedGeneration): Replica[] {
+  private replicasFor(request: QueuedGeneration): Replica[] {
+    const {service, generation, excluded, requiredVersion} = request;
     const replicas = this.ctx.table.withModel(service, generation.model);
-    return replicas.filter(replica => !excluded.has(replica.id));
+    return replicas.filter(
+      replica => !excluded.has(replica.id) && replica.mayServeVersion(requiredVersion),
+    );
   }
 
   private canServe(replica: Replica, {model, adapter}: GenerationParams): boolean {
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -1,6 +1,6 @@
 /** Parts of the gateway that the handling of a caller's request depends on. */
 import type {Clock, Logger, UnreadHeaderCounter} from '@jasminepost/core';
-import type {PriorWaitEstimator, WindowedRetryBudget} from '@jasminepost/policy';
+import type {PriorWaitEstimator, StreamVersions, WindowedRetryBudget} from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
 import type {CallerRequest} from './caller_request.ts';
 import type {CrashDetector} from './crash_detector.ts';
@@ -26,6 +26,7 @@
   readonly services: ServiceQueue;
   readonly limits: ReplicaRateLimits;
   readonly crashes: CrashDetector;
+  readonly streamVersions: StreamVersions;
   readonly priorWait: PriorWaitEstimator;
   engineOf(service: string): EngineSpec | undefined;
   retryBudget(service: string): WindowedRetryBudget;
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -98,6 +98,11 @@
     return this.entry.id;
   }
 
+  /** True when its software has the version, or any version will do. */
+  mayServeVersion(version: string | undefined): boolean {
+    return version === undefined || this.entry.softwareVersion === version;
+  }
+
   /** True when it may receive new requests. */
   get usable(): boolean {
     return !this.isLeaving && !this.hasEnded;
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -14,6 +14,8 @@
 const MAX_REMEMBERED = 10_000;
 /** Maximum time for which the connections to a removed replica stay open for its requests. */
 const LINGER_MS = 30_000;
+/** Maximum time from the start of a stream until its caller resumes it. */
+const STREAM_LIFE_MS = 60_000;
 
 /**
  * How a snapshot of all entries may differ from reality. `after_outage`: it lacks entries that
@@ -45,6 +47,8 @@
   private readonly leftIncarnations = new Set<string>();
   /** Incarnations whose entries were removed, until they are listed again. */
   private readonly gone = new Set<string>();
+  /** When each version of a service's replicas was last listed, by service and version. */
+  private readonly versionsListed = new Map<string, Map<string, number>>();
   private graceTimer: NodeJS.Timeout | undefined;
   private services: ReadonlyMap<string, Service> = new Map();
   /** Usable replicas that have loaded each `service/model`; rebuilt after a change. */
@@ -109,6 +113,15 @@
     return maximum;
   }
 
+  /** Software versions of a service at which streams that still run may have begun. */
+  recentVersions(service: string): ReadonlySet<string> {
+    for (const {entry} of this.replicas.values()) this.recordVersion(entry);
+    const sinceMs = this.clock.monotonicMs() - STREAM_LIFE_MS;
+    const listed = this.versionsListed.get(service) ?? new Map<string, number>();
+    for (const [version, atMs] of listed) if (atMs < sinceMs) listed.delete(version);
+    return new Set(listed.keys());
+  }
+
   /** Usable replicas of a service. */
   usableOf(service: string): Replica[] {
     const found: Replica[] = [];
@@ -243,7 +256,13 @@
     return isStale;
   }
 
+  private recordVersion({service, softwareVersion}: ReplicaRegistration): void {
+    const listed = this.versionsListed.get(service) ?? new Map<string, number>();
+    this.versionsListed.set(service, listed.set(softwareVersion, this.clock.monotonicMs()));
+  }
+
   private removeReplica(replica: Replica, reason: string): void {
+    this.recordVersion(replica.entry);
     this.replicas.delete(replica.id);
     this.usableByModel = undefined;
     if (replica.isLeaving) addBounded(this.leftIncarnations, incarnationId(replica.entry));
@@ -268,7 +287,12 @@
 }
 
 function isSameIncarnation(a: ReplicaRegistration, b: ReplicaRegistration): boolean {
-  return a.bornMs === b.bornMs && a.service === b.service && isSameAddress(a, b);
+  return (
+    a.bornMs === b.bornMs &&
+    a.service === b.service &&
+    a.softwareVersion === b.softwareVersion &&
+    isSameAddress(a, b)
+  );
 }
 
 function isSameAddress(a: ReplicaRegistration, b: ReplicaRegistration): boolean {
--- a/apps/gateway/src/lib/response_relay.ts
+++ b/apps/gateway/src/lib/response_relay.ts
@@ -22,6 +22,11 @@
     private readonly resumable: boolean,
   ) {}
 
+  /** True when the response consists of events. */
+  get isStream(): boolean {
+    return this.eventBuffer !== undefined;
+  }
+
   /** Id of the last event sent to the caller in a resumable stream; empty before the first. */
   get lastEventId(): string {
     return this.resumable ? (this.eventBuffer?.lastEventId ?? '') : '';
--- a/apps/gateway/src/lib/service_choice.ts
+++ b/apps/gateway/src/lib/service_choice.ts
@@ -7,6 +7,10 @@
 } from '@jasminepost/policy';
 import type {GatewayContext} from './gateway_context.ts';
 import type {Replica} from './replica.ts';
+import type {QueuedServiceRequest} from './service_queue.ts';
+
+/** Parts of a request that the choice depends on. */
+type ServiceRequest = Pick<QueuedServiceRequest, 'service' | 'excluded' | 'requiredVersion'>;
 
 /** Result of the choice; `listed` is the number of usable replicas. @internal */
 export type ServiceChoice = {readonly listed: number} & (
@@ -28,12 +32,13 @@
  */
 export function chooseServiceReplica(
   ctx: GatewayContext,
-  service: string,
-  excluded: ReadonlySet<string>,
+  {service, excluded, requiredVersion}: ServiceRequest,
   ahead: number,
 ): ServiceChoice {
   const nowMs = ctx.clock.monotonicMs();
-  const all = ctx.table.usableOf(service);
+  const all = ctx.table
+    .usableOf(service)
+    .filter(replica => replica.mayServeVersion(requiredVersion));
   const listed = all.length;
   const accepting = all.filter(replica => replica.eligibilityAt(nowMs) !== 'no');
   if (accepting.length === 0 && listed > 0) {
--- a/apps/gateway/src/lib/service_queue.ts
+++ b/apps/gateway/src/lib/service_queue.ts
@@ -16,6 +16,8 @@
   readonly service: string;
   /** Replicas on which an attempt has failed. */
   readonly excluded: ReadonlySet<string>;
+  /** Software version that must serve it; undefined for any. */
+  readonly requiredVersion: string | undefined;
   send(replica: Replica, logFields: Readonly<Record<string, unknown>>): void;
   refuse(reason: string, retryAfterMs: number, logFields: Readonly<Record<string, unknown>>): void;
   /** Time for which it is held because it may crash replicas; 0 when it may be sent. */
@@ -85,7 +87,7 @@
       request.refuse('crashes_replicas', holdMs, {});
       return;
     }
-    const choice = chooseServiceReplica(ctx, request.service, request.excluded, ahead);
+    const choice = chooseServiceReplica(ctx, request, ahead);
     const {listed} = choice;
     switch (choice.kind) {
       case 'chosen': {
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -12,7 +12,7 @@
   type Logger,
 } from '@jasminepost/core';
 import {HandshakeAuthenticator, type MemberInfo} from '@jasminepost/mesh';
-import {PriorWaitEstimator} from '@jasminepost/policy';
+import {PriorWaitEstimator, StreamVersions} from '@jasminepost/policy';
 import {readProcessSettings, StoreClient} from '@jasminepost/platform';
 import {RouteTable} from '@jasminepost/serving';
 import {ActiveConfig} from './lib/active_config.ts';
@@ -177,6 +177,7 @@
     services,
     limits,
     crashes,
+    streamVersions: new StreamVersions(),
     priorWait: new PriorWaitEstimator(),
     engineOf,
     retryBudget: service => budgets.forService(service),
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -95,3 +95,4 @@
   type RateLimitUpdate,
   type ReplicaRateLimit,
 } from './lib/replica_rate_limit.ts';
+export {StreamVersions, type StreamVersionDecision} from './lib/stream_versions.ts';
--- a/packages/serving/src/lib/replica_registration.ts
+++ b/packages/serving/src/lib/replica_registration.ts
@@ -21,6 +21,8 @@
   readonly service: string;
   readonly address: HostPort;
   readonly zone: string;
+  /** Version of its software, without an order; empty when not reported. */
+  readonly softwareVersion: string;
   readonly slots: number;
   readonly leaving: boolean;
   /** Start of this incarnation, in milliseconds since the Unix epoch; 0 when not reported. */
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -31,6 +31,8 @@
 export class UsersReplica {
   fault: ReplicaFault = 'none';
   streamFault: StreamFault = 'none';
+  /** Version of its software, which its registration and its events name. */
+  version = 'v1';
   /** Refuses requests, and writes the refusals again; undefined for none. */
   repeatedRefusal: RepeatedRefusal | undefined;
   /** Additional headers of all its responses. */
@@ -172,7 +174,7 @@
       service: this.service,
       address: `${host}:${port}`,
       zone: this.zone,
-      version: 'v1',
+      version: this.version,
       slots: 8,
       state,
       coldRemainingMs: 0,
@@ -318,6 +320,7 @@
               fault: this.streamFault,
               cutsEvent: this.fault === 'cut in an event',
               eventMs: this.eventMs,
+              version: this.version,
             },
             headers,
             req,
--- a/stand_ins/users_platform/replica_stream.ts
+++ b/stand_ins/users_platform/replica_stream.ts
@@ -24,6 +24,8 @@
   readonly fault: StreamFault;
   /** True if the connection of a new stream ends in the middle of the third event. */
   readonly cutsEvent: boolean;
+  /** Version of the software; the events of all but v1 name it. */
+  readonly version: string;
   /** Interval between two events. */
   readonly eventMs: number;
 }
@@ -40,7 +42,7 @@
 
 /** @param headers - Headers that every response of the replica has. */
 export async function streamEvents(
-  {fault, cutsEvent, eventMs}: StreamOptions,
+  {fault, cutsEvent, eventMs, version}: StreamOptions,
   headers: Record<string, string>,
   req: IncomingMessage,
   res: ServerResponse,
@@ -54,7 +56,7 @@
     if (res.destroyed) return;
     const idLine =
       fault === 'resumes with events without ids' && lastEventId > 0 ? '' : `id: ${id}\n`;
-    const event = `${idLine}data: piece ${id}\n\n`;
+    const event = `${idLine}data: ${version === 'v1' ? '' : `${version} `}piece ${id}\n\n`;
     if (cutsEvent && lastEventId === 0 && id === 3) {
       res.write(event.slice(0, 8));
       setTimeout(() => req.socket.destroy(), 10);
