--- a/features/crashing_prompt_parts.feature
+++ b/features/crashing_prompt_parts.feature
@@ -32,3 +32,7 @@
     When callers send drafts for 24 s, of which every eighth has the part "dead", and nothing else happens
     Then at most 3 drafts with a crashing part reach engines later than 3000 ms after the fifth crash
     And sound drafts are served at least half as often after the crashes as before
+
+  Scenario: few requests of a random series with a crashing part are sent after the fifth crash
+    Then in 300 random series at most 3 requests with the part are sent later than 3000 ms after the fifth crash
+    And in 300 random series fewer than half of the sound requests are held afterwards
--- a/features/steps/crashing_part_steps.ts
+++ b/features/steps/crashing_part_steps.ts
@@ -1,8 +1,10 @@
 /** Steps about prompt parts that crash the engines that answer them. */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import fc from 'fast-check';
 import {sleep} from '@jasminepost/core';
 import {sharedParts} from '../../stand_ins/users_platform/recorded_request.ts';
+import {partRequests, playPartRequests} from '../support/crash_part_history.ts';
 import type {UsersFleet, UsersResponse} from '../support/users_fleet.ts';
 import {usersScenario} from '../support/users_scenario.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -14,6 +16,7 @@
 /** Time from a crash until the held part may have no effect on other requests. */
 const SETTLED_AFTER_CRASH_MS = 6000;
 const CRASHES_TO_HOLD = 5;
+const CONTACT_MS = 3000;
 /** Time of the other trouble, from the first request with a crashing part. */
 const TROUBLE_AFTER_MS = 3000;
 
@@ -203,3 +206,28 @@
   const responses = await Promise.all(sound.map(({response}) => response));
   return responses.filter(({status, cut}) => status === 200 && !cut).length / sound.length;
 }
+
+Then(
+  'in {int} random series at most {int} requests with the part are sent later than {int} ms after the fifth crash',
+  function (numRuns: number, max: number, afterMs: number) {
+    fc.assert(
+      fc.property(partRequests, series => playPartRequests(series, afterMs).lateSends <= max),
+      {numRuns, seed: 32},
+    );
+  },
+);
+
+Then(
+  'in {int} random series fewer than half of the sound requests are held afterwards',
+  function (numRuns: number) {
+    let sound = 0;
+    let held = 0;
+    const count = fc.property(partRequests, series => {
+      const {soundAfter, soundHeld} = playPartRequests(series, CONTACT_MS);
+      sound += soundAfter;
+      held += soundHeld;
+    });
+    fc.assert(count, {numRuns, seed: 33});
+    assert.ok(sound > 0 && held < sound / 2, `${held} of ${sound}`);
+  },
+);
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -276,4 +276,32 @@
     replace: 'ctx.limits.onAnswer(replica, undefined, sentMs)',
     features: ['features/rate_limits.feature', '--name', 'all service replicas'],
   },
+  {
+    name: 'prompt parts are not blamed',
+    file: 'apps/gateway/src/lib/crash_suspects.ts',
+    find: 'return [...new Set(partIds.map(id => partKey(shorten(id))))];',
+    replace: 'return partIds.slice(0, 0);',
+    features: ['features/crashing_prompt_parts.feature', '--name', 'nothing else happens'],
+  },
+  {
+    name: 'any response may continue a stream',
+    file: 'apps/gateway/src/lib/caller_request.ts',
+    find: '? findContinuationFault(head)',
+    replace: '? undefined',
+    features: ['features/broken_streams.feature', '--name', 'resumes with status 404'],
+  },
+  {
+    name: 'a response without an id is believed',
+    file: 'apps/gateway/src/lib/caller_request.ts',
+    find: 'if (head.requestId !== this.head.requestId) {',
+    replace: "if (head.requestId !== '' && head.requestId !== this.head.requestId) {",
+    features: ['features/repeated_refusals.feature', '--name', 'without an id'],
+  },
+  {
+    name: 'a stream continues at any version',
+    file: 'apps/gateway/src/lib/engine_selector.ts',
+    find: ' && replica.mayServeVersion(requiredVersion)',
+    replace: '',
+    features: ['features/stream_versions.feature', '--name', 'cut continues'],
+  },
 ];
