Don't state a length for a stream that another replica may finish

Callers got a part of a stream as complete: events 1, 2 and the beginning of the third. The head of the first replica's response stated a length; its connection ended, the stream resumed at another replica, and what the other replica sent was cut to the first one's length.

The length is left out for resumable streams, which then have chunks, so that only the end of the replica's own response ends them.

--- a/apps/gateway/src/lib/response_relay.ts
+++ b/apps/gateway/src/lib/response_relay.ts
@@ -64,7 +64,9 @@
     // Whether the replica's body is complete can't be known. A final chunk would claim that it is,
     // so the response to the caller is delimited by the end of the connection, too.
     if (isCloseDelimited) this.res.useChunkedEncodingByDefault = false;
-    const headers = [...head.headers];
+    // Another replica may finish a resumable response, at another length.
+    const isLengthKept = !(this.resumable && this.isStream);
+    const headers = isLengthKept ? [...head.headers] : withoutLength(head.headers);
     if (closeConnection || isCloseDelimited) headers.push('Connection', 'close');
     this.res.writeHead(head.status, headers);
     // Flushed at once: the first event may take long, and the head tells the caller that a replica
@@ -101,6 +103,11 @@
   }
 }
 
+/** @param headers - Alternating names and values. */
+function withoutLength(headers: readonly string[]): string[] {
+  return headers.filter((_, i) => headers[i - (i % 2)].toLowerCase() !== 'content-length');
+}
+
 /** Sends a response that the gateway itself generates. @internal */
 export function sendLocalResponse(
   res: ServerResponse,
--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -15,6 +15,13 @@
       | long drafts | no length |
       | long drafts | chunks    |
 
+  # The length of the first replica's response cut the stream off, and it looked complete.
+  Scenario: a stream that resumes at a replica is not cut to the length that the first one stated
+    Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
+    And the engines' streams have the fault "a shorter length, cut after an event"
+    When a caller sends 2 long drafts
+    Then every stream has each event once, in order
+
   # The next replica's error response was passed on as part of the stream.
   Scenario Outline: an engine that <fault> adds nothing to the stream that it should resume
     Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
--- a/stand_ins/users_platform/replica_stream.ts
+++ b/stand_ins/users_platform/replica_stream.ts
@@ -8,6 +8,7 @@
   | 'no length'
   | 'no length, ends in an event'
   | 'chunks, ends in an event'
+  | 'a shorter length, cut after an event'
   | 'resumes with status 500'
   | 'resumes with status 500, no body'
   | 'resumes with status 404'
@@ -17,6 +18,8 @@
   | 'resumes with events without ids';
 
 const STREAM_EVENTS = 4;
+/** Length of three events. */
+const SHORT_LENGTH = '66';
 const ERROR_TEXT = 'id: 3\ndata: internal error\n\n';
 const EVENT_STREAM = {'content-type': 'text/event-stream'};
 
@@ -49,7 +52,9 @@
 ): Promise<void> {
   const lastEventId = Number(req.headers['last-event-id'] ?? 0);
   if (lastEventId > 0 && writeFaultyResume(fault, headers, res)) return;
-  if (fault.startsWith('no length')) writeUnframedHead(res, headers);
+  const isShort = fault === 'a shorter length, cut after an event' && lastEventId === 0;
+  if (isShort) res.writeHead(200, {...headers, ...EVENT_STREAM, 'content-length': SHORT_LENGTH});
+  else if (fault.startsWith('no length')) writeUnframedHead(res, headers);
   else res.writeHead(200, {...headers, ...EVENT_STREAM});
   const firstId = fault === 'resumes at the first event' ? 1 : lastEventId + 1;
   for (let id = firstId; id <= STREAM_EVENTS; id++) {
@@ -62,6 +67,10 @@
       setTimeout(() => req.socket.destroy(), 10);
       return;
     }
+    if (isShort && id === 2) {
+      req.socket.destroy();
+      return;
+    }
     if (fault.endsWith('ends in an event') && id === 3) {
       res.end(event.slice(0, 8));
       return;
