--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -44,6 +44,7 @@
   replicas = [];
   /** Changes to the routes of the configuration, by route name. */
   routeChanges = {};
+  models = [MODEL];
   limits = {
     headerBytes: 16_384,
     bodyBytes: 4_194_304,
@@ -97,9 +98,15 @@
       weightsMb: 220_000,
       adapterSlots: 8,
       loadsPerS: 2.1,
-      models: [
-        {name: MODEL, weightsMb: 65_100, loadS: 9, diskS: 1, warmS: 1, adapters: 0, adapterMb: 0},
-      ],
+      models: this.models.map(name => ({
+        name,
+        weightsMb: 65_100,
+        loadS: 9,
+        diskS: 1,
+        warmS: 1,
+        adapters: 0,
+        adapterMb: 0,
+      })),
     };
     this.store.put('op/config', {
       version: this.#version++,
--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -7,6 +7,8 @@
   /** Requests that it has begun to run. */
   runs = [];
   models = new Map([[MODEL, []]]);
+  /** Models of which it has a copy on its disk. */
+  onDisk = [MODEL];
   sequence = 0;
   busy = false;
   /** Time that a load from its disk takes. */
@@ -148,7 +150,7 @@
       kvTotal: 100_000,
       handles: 0,
       incoming: [],
-      available: {inMemory: [], onDisk: [MODEL]},
+      available: {inMemory: [], onDisk: this.onDisk},
       runs: [],
     });
   }
