Resume streams at their version after any gateway, or all, have ended

Cause: which versions had served, and which of them began a stream, was known only in the memory of one process.

Change: the store holds a default version for each service, and a record, written before the first event is sent, of each stream that begins at another version. A gateway reads both when a caller resumes a stream that it did not see begin. While streams from before a change of the default may run, the previous default stays under a lease and all new streams are recorded, so that a gateway that notices late is right as well.

Two rows of stream_versions.feature expected that a stream that another gateway began is refused; they now expect that it goes on, and the row of an invented id gets the default version.

--- a/apps/gateway/src/lib/active_config.ts
+++ b/apps/gateway/src/lib/active_config.ts
@@ -62,6 +62,12 @@
     return this.config?.services.get(service)?.engine;
   }
 
+  /** Services of the routes whose streams callers may resume. */
+  resumableServices(): Iterable<string> {
+    const routes = this.config?.routes.filter(({resumable}) => resumable) ?? [];
+    return new Set(routes.flatMap(({backends}) => backends.map(({service}) => service)));
+  }
+
   /** All model services with their engine settings. */
   engines(): Array<{readonly service: string; readonly spec: EngineSpec}> {
     return [...(this.config?.services.values() ?? [])].flatMap(({name, engine}) =>
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -8,7 +8,7 @@
   type RequestHandle,
   type ReplicaResponseHead,
 } from '@jasminepost/platform';
-import {decideRetry, enginePriority, requestTimes} from '@jasminepost/policy';
+import {decideRetry, enginePriority} from '@jasminepost/policy';
 import {
   selectBackend,
   EMPTY_GENERATION,
@@ -22,6 +22,7 @@
 import {Attempt} from './attempt.ts';
 import {isFromOtherReplica, recordResponseHead} from './response_head.ts';
 import {RequestLog} from './request_log.ts';
+import {MIN_SERVICE_MS, scheduleRequest} from './request_schedule.ts';
 import {StreamVersionGate} from './stream_version_gate.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RequestContent} from './crash_suspects.ts';
@@ -34,11 +35,7 @@
 const MAX_NOT_RUN_SENDS = 3;
 /** From this target latency on there is time to load a model from a replica's disk. */
 const DELAY_TOLERANT_TARGET_MS = 3500;
-/** Minimum time that a replica needs for a request; with less time left, it is not retried. */
-const MIN_SERVICE_MS = 40;
 const DEFAULT_RETRY_AFTER_MS = 300;
-/** Another gateway may know at which version the stream began. */
-const UNKNOWN_VERSION_RETRY_AFTER_MS = 100;
 
 /** Why an attempt failed, and whether the request may have run. */
 type AttemptFailure = Readonly<{verdict: Verdict; detail: string}>;
@@ -61,6 +58,8 @@
   /** The most recent attempt. */
   private attempt: Attempt | undefined;
   private hasPossiblyRun = false;
+  /** Data of the current attempt that waits until the version of the stream is recorded. */
+  private readonly heldEvents: Buffer[] = [];
   private finished = false;
   private timer: NodeJS.Timeout | undefined;
   private readonly relay: ResponseRelay;
@@ -84,20 +83,14 @@
     this.log = new RequestLog(ctx, head, route, startedMs);
     this.crashGate = new CrashGate(ctx.crashes, this.content, sharedPartIds(this.generation));
     this.service = selectBackend(route, head.requestId);
-    this.versionGate = new StreamVersionGate(ctx, head, route, this.service);
+    this.versionGate = new StreamVersionGate(ctx, head, route, this.service, () =>
+      this.releaseHeldEvents(),
+    );
     this.priority = route.priority;
     this.isDelayTolerant = route.targetLatencyMs >= DELAY_TOLERANT_TARGET_MS;
     this.isRetryable = route.kind === 'idempotent' || route.resumable;
     this.relay = new ResponseRelay(res, req.method ?? '', route.resumable);
-    const requestedMs = head.deadlineMs ?? route.timeoutMs;
-    const times = requestTimes({
-      arrivedMs: startedMs,
-      priorWaitMs: ctx.priorWait.priorWaitMs(route.name, requestedMs, startedMs),
-      limitMs: Math.min(requestedMs, route.timeoutMs),
-      targetLatencyMs: route.targetLatencyMs,
-      targetGapMs: route.targetGapMs,
-      firstEventMs: this.prefillMs(),
-    });
+    const times = scheduleRequest(ctx, head, route, startedMs);
     this.deadlineMs = times.deadlineMs;
     this.sendByMs = times.sendByMs;
     this.abandonedMs = times.abandonedMs;
@@ -116,8 +109,7 @@
     this.timer = setTimeout(() => this.onDeadline(), this.deadlineMs - clock.monotonicMs());
     onCallerDisconnect(this.res, () => this.onCallerGone());
     this.ctx.retryBudget(this.service).countFirstAttempt(clock.monotonicMs());
-    if (this.versionGate.isBeginningUnknown())
-      this.refuse('stream_version_unknown', UNKNOWN_VERSION_RETRY_AFTER_MS, {});
+    if (this.versionGate.isResumed) void this.submitResumed();
     else this.checkAndSubmit();
   }
 
@@ -129,6 +121,7 @@
     this.attempt = attempt;
     this.sendCount += 1;
     replica.recordEvent({kind: 'sent'}, nowMs);
+    this.versionGate.onSent(replica);
     metrics.waited.recordMs(nowMs - this.arrivedMs);
     this.log.sent(attempt, this.sendCount, this.deadlineMs, logFields);
     const isCurrent = () => attempt.isLive && !this.finished;
@@ -179,6 +172,13 @@
     return this.crashGate.holdMs();
   }
 
+  private async submitResumed(): Promise<void> {
+    const isKnown = await this.versionGate.findVersion();
+    if (this.finished) return;
+    if (isKnown) this.checkAndSubmit();
+    else this.refuse('stream_version_unknown', DEFAULT_RETRY_AFTER_MS, {});
+  }
+
   /** Queues the request for a replica, unless it is suspected of crashing replicas. */
   private checkAndSubmit(): void {
     this.crashGate.check(
@@ -189,8 +189,9 @@
 
   /** Hands the request to the queue for its service, which sends it at once where it can. */
   private submitToQueue(): void {
-    if (this.versionGate.isVersionGone()) {
-      this.refuse('stream_version_gone', DEFAULT_RETRY_AFTER_MS, {version: this.requiredVersion});
+    const refusal = this.versionGate.check();
+    if (refusal !== undefined) {
+      this.refuse(refusal, DEFAULT_RETRY_AFTER_MS, {version: this.requiredVersion});
       return;
     }
     const engine = this.ctx.engineOf(this.service);
@@ -221,9 +222,10 @@
       );
       return;
     }
+    const canRetry = this.route.kind === 'idempotent' && this.runs + 1 < this.route.maxAttempts;
     const detail = this.relay.headSent
       ? findContinuationFault(head)
-      : findResponseFault(head, this.canRetryResponse());
+      : findResponseFault(head, canRetry);
     if (detail !== undefined) {
       // A well-formed error response leaves the connection usable, so only others are aborted.
       if (head.status < 400) this.exchange?.abort();
@@ -233,11 +235,11 @@
     this.relay.head(head, this.ctx.isDraining());
   }
 
-  private canRetryResponse(): boolean {
-    return this.route.kind === 'idempotent' && this.runs + 1 < this.route.maxAttempts;
-  }
-
   private onData(chunk: Buffer): boolean {
+    if (this.versionGate.isRecording) {
+      this.heldEvents.push(chunk);
+      return false;
+    }
     if (this.attempt!.firstEventMs === 0) this.onFirstEvent(this.attempt!);
     const hasCapacity = this.relay.data(chunk, () => this.exchange?.resume());
     const {eventFault} = this.relay;
@@ -245,6 +247,13 @@
     return hasCapacity;
   }
 
+  /** Sends events to the caller that waited until the version of the stream was recorded. */
+  private releaseHeldEvents(): void {
+    const chunks = this.heldEvents.splice(0);
+    if (this.finished || this.attempt?.isLive !== true || chunks.length === 0) return;
+    if (this.onData(Buffer.concat(chunks))) this.exchange?.resume();
+  }
+
   /** Aborts an attempt whose response is unusable. */
   private abortAttempt(detail: string): void {
     this.exchange?.abort();
@@ -357,6 +366,7 @@
 
   private endAttempt(): void {
     this.exchange = undefined;
+    this.heldEvents.length = 0;
     this.attempt?.end();
     this.ctx.generations.scheduleDispatch();
   }
@@ -386,10 +396,4 @@
     this.log.ended(outcome, this.service, this.sendCount, this.attempt, logFields);
     this.ctx.onFinished(this);
   }
-
-  private prefillMs(): number {
-    const {generation} = this.head;
-    if (generation === undefined) return MIN_SERVICE_MS;
-    return this.ctx.estimator.estimateMs(generation.model, generation.tokensIn);
-  }
 }
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -4,12 +4,14 @@
 import type {EngineSpec} from '@jasminepost/serving';
 import type {CallerRequest} from './caller_request.ts';
 import type {CrashDetector} from './crash_detector.ts';
+import type {DefaultVersions} from './default_versions.ts';
 import type {GenerationQueue} from './generation_queue.ts';
 import type {GatewayMetrics} from './gateway_metrics.ts';
 import type {ReplicaRateLimits} from './replica_rate_limits.ts';
 import type {PrefillEstimator} from './prefill_estimator.ts';
 import type {ReplicaTable} from './replica_table.ts';
 import type {ServiceQueue} from './service_queue.ts';
+import type {StreamRecord} from './stream_record.ts';
 
 /** @internal */
 export interface GatewayContext {
@@ -27,6 +29,8 @@
   readonly limits: ReplicaRateLimits;
   readonly crashes: CrashDetector;
   readonly streamVersions: StreamVersions;
+  readonly defaultVersions: DefaultVersions;
+  readonly streamRecord: StreamRecord;
   readonly priorWait: PriorWaitEstimator;
   engineOf(service: string): EngineSpec | undefined;
   retryBudget(service: string): WindowedRetryBudget;
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -2,8 +2,13 @@
 import {MetricRegistry, type CounterFamily, type Histogram} from '@jasminepost/core';
 import type {LinkCloseReason} from '@jasminepost/mesh';
 import type {StoreCall} from '@jasminepost/platform';
+import type {StreamVersionDecision} from '@jasminepost/policy';
 import type {PermitEvent} from './replica_rate_limits.ts';
 
+/** How the version of a resumed stream is known. @internal */
+export type StreamResumeSource =
+  Extract<StreamVersionDecision, {kind: 'version'}>['source'] | 'unknown';
+
 /** Final outcome of a caller's request. @internal */
 export type RequestOutcome =
   'answered' | 'refused' | 'failed' | 'cut' | 'timed_out' | 'caller_gone' | 'no_route' | 'rejected';
@@ -28,6 +33,7 @@
   readonly storeCalls: CounterFamily<StoreCall>;
   readonly crashEvidence: CounterFamily<CrashEvidence>;
   readonly permits: CounterFamily<PermitEvent>;
+  readonly streamResumes: CounterFamily<StreamResumeSource>;
   readonly linkFaults: CounterFamily<LinkCloseReason>;
   readonly firstEvent: Histogram;
   readonly waited: Histogram;
@@ -72,6 +78,11 @@
       'outcome',
     ),
     permits: registry.counter('permits', 'Permits for replicas that have named a limit', 'event'),
+    streamResumes: registry.counter(
+      'stream_resumes',
+      'Streams resumed by their callers, by how their version is known',
+      'source',
+    ),
     linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
     firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
     waited: registry.histogram('waited_ms', 'Time in the line before the request was sent'),
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -14,8 +14,6 @@
 const MAX_REMEMBERED = 10_000;
 /** Maximum time for which the connections to a removed replica stay open for its requests. */
 const LINGER_MS = 30_000;
-/** Maximum time from the start of a stream until its caller resumes it. */
-const STREAM_LIFE_MS = 60_000;
 
 /**
  * How a snapshot of all entries may differ from reality. `after_outage`: it lacks entries that
@@ -47,8 +45,6 @@
   private readonly leftIncarnations = new Set<string>();
   /** Incarnations whose entries were removed, until they are listed again. */
   private readonly gone = new Set<string>();
-  /** When each version of a service's replicas was last listed, by service and version. */
-  private readonly versionsListed = new Map<string, Map<string, number>>();
   private graceTimer: NodeJS.Timeout | undefined;
   private services: ReadonlyMap<string, Service> = new Map();
   /** Usable replicas that have loaded each `service/model`; rebuilt after a change. */
@@ -113,13 +109,12 @@
     return maximum;
   }
 
-  /** Software versions of a service at which streams that still run may have begun. */
-  recentVersions(service: string): ReadonlySet<string> {
-    for (const {entry} of this.replicas.values()) this.recordVersion(entry);
-    const sinceMs = this.clock.monotonicMs() - STREAM_LIFE_MS;
-    const listed = this.versionsListed.get(service) ?? new Map<string, number>();
-    for (const [version, atMs] of listed) if (atMs < sinceMs) listed.delete(version);
-    return new Set(listed.keys());
+  /** Number of usable replicas of a service by software version. */
+  versionsOf(service: string): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const {entry} of this.usableOf(service))
+      counts.set(entry.softwareVersion, (counts.get(entry.softwareVersion) ?? 0) + 1);
+    return counts;
   }
 
   /** Usable replicas of a service. */
@@ -256,13 +251,7 @@
     return isStale;
   }
 
-  private recordVersion({service, softwareVersion}: ReplicaRegistration): void {
-    const listed = this.versionsListed.get(service) ?? new Map<string, number>();
-    this.versionsListed.set(service, listed.set(softwareVersion, this.clock.monotonicMs()));
-  }
-
   private removeReplica(replica: Replica, reason: string): void {
-    this.recordVersion(replica.entry);
     this.replicas.delete(replica.id);
     this.usableByModel = undefined;
     if (replica.isLeaving) addBounded(this.leftIncarnations, incarnationId(replica.entry));
--- a/apps/gateway/src/lib/stream_version_gate.ts
+++ b/apps/gateway/src/lib/stream_version_gate.ts
@@ -1,45 +1,109 @@
 /** Keeps one stream at the software version that began it. */
+import {errorMessage} from '@jasminepost/core';
 import type {CallerHeaders} from '@jasminepost/platform';
+import {
+  decideStreamVersion,
+  mayBeginUnrecorded,
+  type StreamVersionDecision,
+} from '@jasminepost/policy';
 import type {Route} from '@jasminepost/serving';
 import type {GatewayContext} from './gateway_context.ts';
 import type {Replica} from './replica.ts';
 
+/** Why a stream can't be sent to any replica now. @internal */
+export type StreamVersionRefusal =
+  /** No usable replica has the version that began the stream. */
+  | 'stream_version_gone'
+  /** A new stream could begin only at a version that can't be recorded in the store now. */
+  | 'stream_version_unrecordable';
+
 /** @internal */
 export class StreamVersionGate {
   /** Version that must serve the stream; undefined for any. */
   requiredVersion: string | undefined;
+  /** True while the events of the attempt must wait until its version is in the store. */
+  isRecording = false;
+  /** Version that has a record, or will have one. */
+  private recordedVersion: string | undefined;
+  private attempts = 0;
 
+  /** @param onRecorded - Called when the events of the attempt may be sent to the caller. */
   constructor(
-    private readonly ctx: Pick<GatewayContext, 'log' | 'streamVersions' | 'table'>,
+    private readonly ctx: Pick<
+      GatewayContext,
+      'defaultVersions' | 'log' | 'metrics' | 'streamRecord' | 'streamVersions' | 'table'
+    >,
     private readonly head: CallerHeaders,
     private readonly route: Route,
     private readonly service: string,
+    private readonly onRecorded: () => void,
   ) {}
 
-  /** True for a stream that the caller resumes and of which the version can't be determined. */
-  isBeginningUnknown(): boolean {
+  /** True for a stream that its caller resumes, so that its version must be found first. */
+  get isResumed(): boolean {
+    return this.head.resumed !== undefined && this.route.resumable;
+  }
+
+  /**
+   * Finds the version of a resumed stream.
+   *
+   * @returns False when it can't be determined, so that the stream must not continue.
+   */
+  async findVersion(): Promise<boolean> {
     const {requestId, resumed} = this.head;
-    if (resumed === undefined || !this.route.resumable) return false;
-    const {log, streamVersions, table} = this.ctx;
-    const versions = table.recentVersions(this.service);
-    const decision = streamVersions.decideResume(resumed.firstRequestId, versions);
+    const {log, metrics, streamVersions} = this.ctx;
+    const firstRequestId = resumed?.firstRequestId ?? '';
+    const remembered = streamVersions.versionOf(firstRequestId);
+    const decision: StreamVersionDecision =
+      remembered === undefined
+        ? await this.decideFromStore(firstRequestId)
+        : {kind: 'version', version: remembered, source: 'remembered'};
+    const isKnown = decision.kind === 'version';
+    metrics.streamResumes.increment(isKnown ? decision.source : 'unknown');
     log.info('stream resumed by its caller', {
       requestId,
       ...resumed,
-      versions: versions.size,
-      decision: decision.kind,
-      ...(decision.kind === 'version' ? {version: decision.version} : {}),
+      ...this.ctx.defaultVersions.of(this.service),
+      ...(isKnown ? {version: decision.version, source: decision.source} : {source: 'unknown'}),
     });
-    if (decision.kind === 'version') this.requiredVersion = decision.version;
-    return decision.kind === 'unknown';
+    if (isKnown) this.requiredVersion = decision.version;
+    return isKnown;
   }
 
-  /** True when no usable replica has the version. */
-  isVersionGone(): boolean {
-    const {requiredVersion} = this;
-    if (requiredVersion === undefined) return false;
-    const usable = this.ctx.table.usableOf(this.service);
-    return !usable.some(replica => replica.mayServeVersion(requiredVersion));
+  /** Checks whether the stream can be sent to a replica, and restricts it to a version if need be. */
+  check(): StreamVersionRefusal | undefined {
+    if (this.requiredVersion !== undefined)
+      return this.isServed(this.requiredVersion) ? undefined : 'stream_version_gone';
+    if (!this.route.resumable || this.ctx.streamRecord.isAvailable) return undefined;
+    const found = this.ctx.defaultVersions.of(this.service);
+    if (found === undefined || !mayBeginUnrecorded(found, found.current))
+      return 'stream_version_unrecordable';
+    if (!this.isServed(found.current)) return 'stream_version_unrecordable';
+    this.requiredVersion = found.current;
+    return undefined;
+  }
+
+  /** Records the version of the replica that an attempt begins at, if it needs a record. */
+  onSent({entry: {softwareVersion}}: Replica): void {
+    const {requestId} = this.head;
+    this.attempts += 1;
+    this.isRecording = false;
+    const hasBegun = this.isResumed || this.ctx.streamVersions.versionOf(requestId) !== undefined;
+    // A stream without an id can't be resumed by its caller.
+    if (!this.route.resumable || hasBegun || requestId === '') return;
+    const isDefault = mayBeginUnrecorded(
+      this.ctx.defaultVersions.of(this.service),
+      softwareVersion,
+    );
+    if (this.recordedVersion === undefined && isDefault) return;
+    this.recordedVersion = softwareVersion;
+    this.isRecording = true;
+    const {attempts} = this;
+    this.ctx.streamRecord.add(this.service, requestId, softwareVersion, () => {
+      if (attempts !== this.attempts) return;
+      this.isRecording = false;
+      this.onRecorded();
+    });
   }
 
   /** Binds the stream to the replica's version. */
@@ -53,4 +117,29 @@
       this.requiredVersion,
     );
   }
+
+  private async decideFromStore(firstRequestId: string): Promise<StreamVersionDecision> {
+    try {
+      const found = await this.ctx.streamRecord.read(this.service);
+      const {versions, defaultVersion, isComplete} = found;
+      const isUnnamed = firstRequestId === '';
+      const isOnlyVersion = versions.size === 0 && defaultVersion?.previous === undefined;
+      return decideStreamVersion({
+        recorded: versions.get(firstRequestId),
+        defaultVersion,
+        areRecordsComplete: isComplete && (!isUnnamed || isOnlyVersion),
+      });
+    } catch (thrown) {
+      this.ctx.log.warn('could not read at which version a stream began', {
+        requestId: this.head.requestId,
+        error: errorMessage(thrown),
+      });
+      return {kind: 'unknown'};
+    }
+  }
+
+  private isServed(version: string): boolean {
+    const usable = this.ctx.table.usableOf(this.service);
+    return usable.some(replica => replica.mayServeVersion(version));
+  }
 }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -5,6 +5,7 @@
   errorMessage,
   installStopSignals,
   installUncaughtErrorHandlers,
+  newId,
   onReloadSignal,
   SettingsError,
   SystemClock,
@@ -19,6 +20,7 @@
 import {CallerServer} from './lib/caller_server.ts';
 import {CrashDetector} from './lib/crash_detector.ts';
 import {CrashNewsSync} from './lib/crash_news_sync.ts';
+import {DefaultVersions} from './lib/default_versions.ts';
 import {DemandMeter} from './lib/demand_meter.ts';
 import {EngineSelector} from './lib/engine_selector.ts';
 import {FleetWatcher} from './lib/fleet_watcher.ts';
@@ -35,6 +37,7 @@
 import {RetryBudgets} from './lib/retry_budgets.ts';
 import {ServiceQueue} from './lib/service_queue.ts';
 import {StewardLinks} from './lib/steward_links.ts';
+import {StreamRecord} from './lib/stream_record.ts';
 import {TrialLease} from './lib/trial_lease.ts';
 import type {GatewaySettings} from './settings.ts';
 
@@ -62,6 +65,7 @@
     fleetWatcher.onStoreRestored();
     planner.onStoreRestored();
     crashNewsSync.onStoreRestored();
+    streamRecord.onStoreRestored();
   });
   const authenticator = new HandshakeAuthenticator(settings.meshKey);
   const incarnation = Math.floor(clock.wallMs());
@@ -115,6 +119,22 @@
     list: () => crashes.list(),
     applyNews: message => crashes.applyNews(message),
   });
+  const defaultVersions = new DefaultVersions({
+    store,
+    clock,
+    log,
+    isPlanner: () => planner.isRelay && table.hasSnapshot,
+    resumableServices: () => activeConfig.resumableServices(),
+    versionsOf: service => table.versionsOf(service),
+  });
+  const streamRecord = new StreamRecord({
+    store,
+    clock,
+    log,
+    self: newId(instance.id),
+    gateways: () => gateways(),
+    applyDefault: (service, found) => defaultVersions.applyRange(service, found),
+  });
   const estimator = new PrefillEstimator();
   const demand = new DemandMeter(estimator);
   const limits: ReplicaRateLimits = new ReplicaRateLimits({
@@ -178,6 +198,8 @@
     limits,
     crashes,
     streamVersions: new StreamVersions(),
+    defaultVersions,
+    streamRecord,
     priorWait: new PriorWaitEstimator(),
     engineOf,
     retryBudget: service => budgets.forService(service),
@@ -221,6 +243,7 @@
     onOtherChange: change => {
       planner.onStoreChange(change);
       crashNewsSync.applyChange(change);
+      defaultVersions.applyChange(change);
     },
     isRelay: () => planner.isRelay,
     relay: message => planner.relay(message),
@@ -235,6 +258,7 @@
 
   fleetWatcher.start();
   crashNewsSync.start();
+  defaultVersions.start();
   await server.listen(instance.callers);
   await planner.start();
   await serveReadiness(instance.readiness, notReadyReason);
@@ -253,6 +277,8 @@
     services.dispose();
     crashes.dispose();
     crashNewsSync.dispose();
+    defaultVersions.dispose();
+    streamRecord.dispose();
     table.dispose();
   });
 }
--- a/features/steps/store_era_steps.ts
+++ b/features/steps/store_era_steps.ts
@@ -3,36 +3,22 @@
 import {Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
 import {sleep} from '@jasminepost/core';
-import type {StoreSnapshot} from '../../stand_ins/users_platform/metadata_store.ts';
 import {storeEraSteps, areFencingTokensIncreasing} from '../support/store_era_history.ts';
 import {until} from '../support/fleet_process.ts';
 import type {UsersFleet} from '../support/users_fleet.ts';
 import {usersScenario, replicas} from '../support/users_scenario.ts';
+import {restoreStore, takeStoreSnapshot} from '../support/store_snapshots.ts';
 import type {FleetWorld} from '../support/world.ts';
 
 const SETTLE_MS = 1200;
 const RESTART_MS = 3000;
-const STORE_DOWNTIME_MS = 200;
 /** More revisions than were used between the snapshot and the restore. */
 const EXTRA_REVISIONS = 30;
 const CALL_INTERVAL_MS = 100;
 const CALL_DURATION_MS = 4000;
 
-const snapshots = new WeakMap<UsersFleet, StoreSnapshot>();
 const statuses = new WeakMap<UsersFleet, number[]>();
 
-/** Restores the store from the snapshot after a short outage. */
-async function restoreStore(
-  fleet: UsersFleet,
-  writeBeforeUp: () => void = () => undefined,
-): Promise<void> {
-  fleet.store.mode = 'unavailable';
-  await sleep(STORE_DOWNTIME_MS);
-  fleet.store.restoreFrom(snapshots.get(fleet)!);
-  writeBeforeUp();
-  fleet.store.mode = 'up';
-}
-
 function plannerTerms(fleet: UsersFleet): number[] {
   const terms = fleet.gateways.flatMap(({process}) =>
     [...process.log.join('').matchAll(/"role acquired"[^}]*"term":(\d+)/g)].map(m => Number(m[1])),
@@ -42,7 +28,7 @@
 
 When('a snapshot of the store is taken', function (this: FleetWorld) {
   const {fleet} = usersScenario(this);
-  snapshots.set(fleet, fleet.store.takeSnapshot());
+  takeStoreSnapshot(fleet);
 });
 
 When('a configuration adds the route {string}', async function (this: FleetWorld, name: string) {
@@ -84,7 +70,7 @@
   async function (this: FleetWorld, extraRoute: string, withinMs: number) {
     const {fleet} = usersScenario(this);
     fleet.reuseVersion();
-    snapshots.set(fleet, fleet.store.takeSnapshot());
+    takeStoreSnapshot(fleet);
     await restoreStore(fleet);
     fleet.configure({extraRoute});
     for (const gateway of [0, 1]) {
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -27,8 +27,8 @@
     Examples:
       | where            | complete |
       | the same gateway | all      |
-      | another gateway  | none     |
-      | a new gateway    | none     |
+      | another gateway  | all      |
+      | a new gateway    | all      |
 
   # Streams of one version go on anywhere, also where nothing is known of their beginning.
   Scenario: a caller resumes at another gateway while there is one version
@@ -36,3 +36,84 @@
     And the replicas' fault is "cut in an event"
     When a caller sends 3 long drafts, and resumes each at another gateway
     Then all of the streams are complete
+
+  # Streams could not be resumed at any gateway once the one that began them had ended.
+  Scenario Outline: streams of two versions go on at their version after <who> killed
+    Given a users' fleet of 0 service replicas, 4 engines and 2 gateway
+    And the engines have the software versions v1, v2, v1, v2
+    When 24 long drafts run at the first gateway
+    And <who> killed and started again
+    And their callers resume them at the second gateway
+    Then no stream has events of two versions
+    And all of the streams are complete
+
+    Examples:
+      | who                  |
+      | the first gateway is |
+      | all gateways are     |
+
+  # A gateway that had just started knew only the versions that were listed by then.
+  Scenario Outline: streams of a replaced version don't go on at the new one after <who> restarted <how>
+    Given a users' fleet of 0 service replicas, 2 engines and 2 gateway
+    When 24 long drafts run at the first gateway
+    And the engines are replaced by 2 engines of version v2 on the list
+    And <who> restarted by <how>
+    And the replaced engines end
+    And their callers resume them at the second gateway
+    Then no stream has events of two versions
+    And 12 new long drafts begin at the second gateway
+
+    Examples:
+      | who                   | how     |
+      | the second gateway is | SIGTERM |
+      | the second gateway is | SIGKILL |
+      | all gateways are      | SIGKILL |
+
+  # Streams from before and after a release could not be told apart once all gateways had ended.
+  Scenario: streams that began before and during a release go on at their versions after a kill of all gateways
+    Given a users' fleet of 0 service replicas, 2 engines and 2 gateway
+    When 12 long drafts run at the first gateway
+    And 4 engines of version v2 are added
+    And 24 long drafts run at the first gateway
+    And all gateways are killed and started again
+    And their callers resume them at the second gateway
+    Then no stream has events of two versions
+    And all of the streams are complete
+
+  # A store that came back from a copy had lost the records of streams.
+  Scenario: streams of two versions don't mix after the store was restored and all gateways were killed
+    Given a users' fleet of 0 service replicas, 4 engines and 2 gateway
+    And the engines have the software versions v1, v2, v1, v2
+    When a snapshot of the store is taken
+    And 24 long drafts run at the first gateway
+    And the store is restored from the snapshot, while gateways have 1500 ms to write to it
+    And all gateways are killed and started again
+    And their callers resume them at the second gateway
+    Then no stream has events of two versions
+    And all of the streams are complete
+
+  # A stream began at a version that nobody could have told later.
+  Scenario: no stream begins at a version that can't be recorded while the store is away
+    Given a users' fleet of 0 service replicas, 2 engines and 2 gateway
+    And the engines have the software versions v1, v2
+    When 6 long drafts run at the first gateway while the store is away
+    And the store is back and all gateways are killed and started again
+    And their callers resume them at the second gateway
+    Then no stream has events of two versions
+
+  # A resumed stream was taken for one that began at the only version known.
+  Scenario Outline: a resumed stream is <outcome> when its caller names <what>
+    Given a users' fleet of 0 service replicas, 2 engines and 2 gateway
+    And the engines have the software versions v1, v2
+    When 12 long drafts run at the first gateway
+    And a caller resumes a stream with the first request "<resumes>" at the second gateway
+    Then the resumed stream is <outcome>
+
+    Examples:
+      | what                         | resumes       | outcome |
+      | no stream                    |               | refused |
+      | a stream that has no record  | an-unknown-id | served  |
+
+  # Gateways told apart by what they remembered, and by what was listed.
+  Scenario: no stream of a random series of starts, releases and kills continues at another version
+    Then in 1000 random series every resumed stream continues at its version
--- /dev/null
+++ b/features/support/stream_version_history.ts
@@ -0,0 +1,124 @@
+/** Simulates streams that begin, releases, kills of gateways, and callers that resume anywhere. */
+import fc from 'fast-check';
+import {
+  decideStreamVersion,
+  mayBeginUnrecorded,
+  nextDefaultVersion,
+  type DefaultVersion,
+} from '@jasminepost/policy';
+
+const GATEWAYS = 3;
+const VERSIONS = ['v1', 'v2', 'v3'];
+/** Longest time from the beginning of a stream until it is resumed. */
+const STREAM_LIFE_MS = 60_000;
+const PREVIOUS_LEASE_MS = 75_000;
+/** Longest time until a gateway notices a change of the default. */
+const MAX_LAG_MS = 10_000;
+
+type VersionEvent = Readonly<
+  | {kind: 'start'; gateway: number; version: number; lagMs: number}
+  | {kind: 'plan'; replicas: readonly number[]}
+  | {kind: 'kill'; gateways: readonly number[]}
+  | {kind: 'resume'; stream: number; gateway: number}
+>;
+
+const versionEvent: fc.Arbitrary<VersionEvent> = fc.oneof(
+  fc.record({
+    kind: fc.constant('start' as const),
+    gateway: fc.nat(GATEWAYS - 1),
+    version: fc.nat(VERSIONS.length - 1),
+    lagMs: fc.nat(MAX_LAG_MS),
+  }),
+  fc.record({
+    kind: fc.constant('plan' as const),
+    replicas: fc.array(fc.nat(4), {minLength: VERSIONS.length, maxLength: VERSIONS.length}),
+  }),
+  fc.record({
+    kind: fc.constant('kill' as const),
+    gateways: fc.uniqueArray(fc.nat(GATEWAYS - 1), {minLength: 1}),
+  }),
+  fc.record({
+    kind: fc.constant('resume' as const),
+    stream: fc.nat(8),
+    gateway: fc.nat(GATEWAYS - 1),
+  }),
+);
+
+export const versionHistories = fc.array(
+  fc.record({afterMs: fc.oneof(fc.nat(500), fc.nat(5000), fc.nat(20_000)), event: versionEvent}),
+  {minLength: 20, maxLength: 120},
+);
+
+/** Resumed streams that went on at their version, at another one, and not at all. */
+export interface ResumeCounts {
+  readonly same: number;
+  readonly other: number;
+  /** Those that did not, although a default version was known when they began. */
+  readonly refused: number;
+}
+
+interface Stream {
+  readonly id: string;
+  readonly version: string;
+  readonly atMs: number;
+  readonly hadDefault: boolean;
+}
+
+export function playVersionHistory(
+  events: ReadonlyArray<{readonly afterMs: number; readonly event: VersionEvent}>,
+): ResumeCounts {
+  const counts = {same: 0, other: 0, refused: 0};
+  const changes: Array<{readonly atMs: number; readonly found: DefaultVersion}> = [];
+  const records = new Map<string, string>();
+  const streams: Stream[] = [];
+  const memories = Array.from({length: GATEWAYS}, () => new Map<string, string>());
+  /** What the store holds at a time: the previous default is deleted when its lease ends. */
+  const storedAt = (atMs: number): DefaultVersion | undefined => {
+    const last = changes.findLast(change => change.atMs <= atMs);
+    if (last === undefined) return undefined;
+    const {current, previous} = last.found;
+    return {current, previous: atMs < last.atMs + PREVIOUS_LEASE_MS ? previous : undefined};
+  };
+  let nowMs = 0;
+  for (const {afterMs, event} of events) {
+    nowMs += afterMs;
+    switch (event.kind) {
+      case 'start': {
+        const version = VERSIONS[event.version];
+        const id = `stream-${streams.length}`;
+        const found = storedAt(nowMs - event.lagMs);
+        if (!mayBeginUnrecorded(found, version)) records.set(id, version);
+        memories[event.gateway].set(id, version);
+        streams.push({id, version, atMs: nowMs, hadDefault: found !== undefined});
+        break;
+      }
+      case 'plan': {
+        const found = storedAt(nowMs);
+        const replicas = new Map(VERSIONS.map((version, i) => [version, event.replicas[i]]));
+        const next = nextDefaultVersion(found, replicas);
+        if (next === undefined) break;
+        changes.push({atMs: nowMs, found: {current: next, previous: found?.current}});
+        break;
+      }
+      case 'kill':
+        for (const gateway of event.gateways) memories[gateway].clear();
+        break;
+      case 'resume': {
+        const stream = streams.at(-1 - event.stream);
+        if (stream === undefined || nowMs - stream.atMs > STREAM_LIFE_MS) break;
+        const decision = decideStreamVersion({
+          recorded: records.get(stream.id),
+          defaultVersion: storedAt(nowMs),
+          areRecordsComplete: true,
+        });
+        const version =
+          memories[event.gateway].get(stream.id) ??
+          (decision.kind === 'version' ? decision.version : undefined);
+        if (version === undefined) counts.refused += stream.hadDefault ? 1 : 0;
+        else if (version === stream.version) counts.same += 1;
+        else counts.other += 1;
+      }
+    }
+  }
+  return counts;
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -95,4 +95,13 @@
   type RateLimitUpdate,
   type ReplicaRateLimit,
 } from './lib/replica_rate_limit.ts';
-export {StreamVersions, type StreamVersionDecision} from './lib/stream_versions.ts';
+export {
+  decideStreamVersion,
+  mayBeginUnrecorded,
+  nextDefaultVersion,
+  StreamVersions,
+  unrecordedVersion,
+  type DefaultVersion,
+  type StreamBeginning,
+  type StreamVersionDecision,
+} from './lib/stream_versions.ts';
--- a/packages/policy/src/lib/stream_versions.ts
+++ b/packages/policy/src/lib/stream_versions.ts
@@ -1,15 +1,48 @@
 /** Decides which software version of a replica may serve a stream. */
 
-/** Version that a stream may continue at. @public */
+/**
+ * Version at which the streams of a service begin without a record of their own.
+ *
+ * @public
+ */
+export interface DefaultVersion {
+  readonly current: string;
+  /**
+   * The default before `current`, for as long as streams that began under it may run. Until then,
+   * every stream that begins at `current` is recorded.
+   */
+  readonly previous: string | undefined;
+}
+
+/** What the store holds of a stream that a caller resumes. @public */
+export interface StreamBeginning {
+  /** Version in its own record; undefined without a record. */
+  readonly recorded: string | undefined;
+  /** Undefined while it can't be read, or before there is one. */
+  readonly defaultVersion: DefaultVersion | undefined;
+  /** False while records may be missing or can't be read. */
+  readonly areRecordsComplete: boolean;
+}
+
+/**
+ * Version that a resumed stream must continue at, and how it is known: this gateway saw it begin,
+ * it has a record, or it has none and so began at the default version.
+ *
+ * @public
+ */
 export type StreamVersionDecision =
-  /** Any replica may serve it: no event of it has been sent, or there is only one version. */
-  | {readonly kind: 'any'}
-  | {readonly kind: 'version'; readonly version: string}
-  /** Several versions have served lately, and it is not known which of them began the stream. */
+  | {
+      readonly kind: 'version';
+      readonly version: string;
+      readonly source: 'remembered' | 'recorded' | 'default';
+    }
+  /** The stream must not continue: its events might come from two versions. */
   | {readonly kind: 'unknown'};
 
 /** Streams whose version is remembered; the one that began first is dropped first. */
 const MAX_STREAMS = 20_000;
+/** Replicas of another version, per replica of the default, from which on it becomes the default. */
+const DEFAULT_CHANGE_RATIO = 2;
 
 /** Remembers at which version streams began. @public */
 export class StreamVersions {
@@ -22,18 +55,73 @@
     if (this.versions.size > MAX_STREAMS) this.versions.delete(this.versions.keys().next().value!);
   }
 
-  /**
-   * Handles a stream that a caller resumes: it must not continue at another software version than
-   * the one that began it, since their outputs don't fit together.
-   *
-   * @param firstRequestId - Id of the request that brought the first event.
-   * @param recentVersions - Versions at which the stream may have begun.
-   * @example
-   * if (streams.decideResume(id, table.recentVersions(service)).kind === 'unknown') refuse();
-   */
-  decideResume(firstRequestId: string, recentVersions: ReadonlySet<string>): StreamVersionDecision {
-    const version = this.versions.get(firstRequestId);
-    if (version !== undefined) return {kind: 'version', version};
-    return recentVersions.size > 1 ? {kind: 'unknown'} : {kind: 'any'};
+  /** Version at which the stream began; undefined when it did not begin here. */
+  versionOf(requestId: string): string | undefined {
+    return this.versions.get(requestId);
+  }
+}
+
+/**
+ * Version at which streams without a record began; undefined when that is not known.
+ *
+ * @example
+ * unrecordedVersion({current: 'v2', previous: 'v1'}); // 'v1'
+ * @public
+ */
+export function unrecordedVersion(found: DefaultVersion | undefined): string | undefined {
+  return found?.previous ?? found?.current;
+}
+
+/**
+ * True when a stream may begin at the version without a record: whoever resumes it computes the
+ * same version, whether or not that gateway has noticed the latest change of the default.
+ *
+ * @example
+ * mayBeginUnrecorded({current: 'v2', previous: 'v1'}, 'v2'); // false
+ * @public
+ */
+export function mayBeginUnrecorded(found: DefaultVersion | undefined, version: string): boolean {
+  return found !== undefined && found.current === version && unrecordedVersion(found) === version;
+}
+
+/**
+ * Decides at which version a stream continues that its caller resumes. Outputs of two versions
+ * don't fit together, so a stream whose beginning is not known must not continue.
+ *
+ * @example
+ * if (decideStreamVersion(beginning).kind === 'unknown') refuse();
+ * @public
+ */
+export function decideStreamVersion(beginning: StreamBeginning): StreamVersionDecision {
+  const {recorded, defaultVersion, areRecordsComplete} = beginning;
+  if (recorded !== undefined) return {kind: 'version', version: recorded, source: 'recorded'};
+  const version = areRecordsComplete ? unrecordedVersion(defaultVersion) : undefined;
+  return version === undefined ? {kind: 'unknown'} : {kind: 'version', version, source: 'default'};
+}
+
+/**
+ * Chooses the version that should become the default; undefined to keep the current one. A change
+ * has a price: every stream is recorded until those that began before it have ended. So a default
+ * stays until it has no replica left or another version has far more, and never changes twice
+ * within that time.
+ *
+ * @param replicas - Number of usable replicas by version.
+ * @example
+ * nextDefaultVersion({current: 'v1', previous: undefined}, new Map([['v2', 3]])); // 'v2'
+ * @public
+ */
+export function nextDefaultVersion(
+  found: DefaultVersion | undefined,
+  replicas: ReadonlyMap<string, number>,
+): string | undefined {
+  if (found !== undefined && found.previous !== undefined) return undefined;
+  let best: string | undefined;
+  for (const [version, count] of replicas) {
+    const bestCount = best === undefined ? 0 : (replicas.get(best) ?? 0);
+    if (count > bestCount) best = version;
   }
+  if (best === undefined || best === found?.current) return undefined;
+  const currentCount = found === undefined ? 0 : (replicas.get(found.current) ?? 0);
+  const isPreferred = (replicas.get(best) ?? 0) >= DEFAULT_CHANGE_RATIO * currentCount;
+  return isPreferred ? best : undefined;
 }
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -304,4 +304,18 @@
     replace: '',
     features: ['features/stream_versions.feature', '--name', 'cut continues'],
   },
+  {
+    name: 'a stream begins without a record while the previous default may still have streams',
+    file: 'packages/policy/src/lib/stream_versions.ts',
+    find: ' && unrecordedVersion(found) === version',
+    replace: '',
+    features: ['features/stream_versions.feature', '--name', 'before and during'],
+  },
+  {
+    name: 'events leave before the version of their stream is recorded',
+    file: 'apps/gateway/src/lib/caller_request.ts',
+    find: 'if (this.versionGate.isRecording) {',
+    replace: 'if (this.finished) {',
+    features: ['features/stream_versions.feature', '--name', 'recorded while the store is away'],
+  },
 ];
