--- a/apps/gateway/src/lib/sse_event_buffer.ts
+++ b/apps/gateway/src/lib/sse_event_buffer.ts
@@ -1,8 +1,11 @@
 /** Releases complete server-sent events only, so that another attempt can resume the stream. */
+import {GrowingBuffer} from '@jasminepost/core';
 
 const EVENT_ENDS: readonly Buffer[] = [Buffer.from('\n\n'), Buffer.from('\r\n\r\n')];
 /** Longer events are taken to be endless: models send a few tokens per event. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** The longest end of an event, less one byte: an end may begin this far before a new chunk. */
+const END_OVERLAP_BYTES = 3;
 const ID_LINE = /^id:\s?([^\r\n]*)/m;
 
 /** @internal */
@@ -13,7 +16,7 @@
   hasEvents = false;
   /** True when the first event of the current attempt does not follow the last one released. */
   isOutOfOrder = false;
-  private partial: Buffer = Buffer.alloc(0);
+  private readonly partial = new GrowingBuffer();
 
   /** True when the data so far ends in the middle of an event. */
   get hasPartial(): boolean {
@@ -25,20 +28,20 @@
     return this.partial.length > MAX_EVENT_BYTES;
   }
 
-  /** Adds received data and returns the events that are now complete. */
+  /**
+   * Adds received data and returns the events that are now complete. Searches only what is new, so
+   * that a long event costs the same in chunks of any size.
+   */
   push(chunk: Buffer): Buffer {
-    const data = this.partial.length === 0 ? chunk : Buffer.concat([this.partial, chunk]);
-    const end = lastEventEnd(data);
-    if (end < 0) {
-      this.partial = data;
-      return Buffer.alloc(0);
-    }
-    const completeEvents = data.subarray(0, end);
+    const searchedBytes = Math.max(0, this.partial.length - END_OVERLAP_BYTES);
+    this.partial.append(chunk);
+    const end = lastEventEnd(this.partial.bytes.subarray(searchedBytes));
+    if (end < 0) return Buffer.alloc(0);
+    const completeEvents = this.partial.take(searchedBytes + end);
     if (!this.hasEvents && this.lastEventId !== '' && !this.continues(completeEvents)) {
       this.isOutOfOrder = true;
       return Buffer.alloc(0);
     }
-    this.partial = data.subarray(end);
     const lastStart = lastEventEnd(completeEvents.subarray(0, -1));
     const last = completeEvents.subarray(Math.max(0, lastStart)).toString('utf8');
     this.lastEventId = ID_LINE.exec(last)?.[1] ?? this.lastEventId;
@@ -57,7 +60,7 @@
 
   /** Prepares for the events of another attempt; discards an incomplete event. */
   startAttempt(): void {
-    this.partial = Buffer.alloc(0);
+    this.partial.clear();
     this.hasEvents = false;
     this.isOutOfOrder = false;
   }
--- a/features/endless_responses.feature
+++ b/features/endless_responses.feature
@@ -21,6 +21,8 @@
       | long draft | headers                  |
       | long draft | an event                 |
       | draft      | an event                 |
+      | long draft | an event in small chunks |
+      | draft      | an event in small chunks |
 
   Scenario: a resumable stream resumes on another replica when an event has no end
     Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
@@ -40,3 +42,16 @@
       | headers                 |
       | a body in chunks        |
       | a body without a length |
+
+  # An engine's event without an end kept a sidecar busy, and filled its memory.
+  Scenario Outline: an event without an end is given up after 1 MiB in pieces of <bytes> bytes
+    When an engine's event without an end arrives in pieces of <bytes> bytes
+    Then it is given up after at most 1114112 bytes, within 1000 ms
+
+    Examples:
+      | bytes |
+      | 8     |
+      | 65536 |
+
+  Scenario: an engine's events are the same whatever the pieces that they arrive in
+    Then in 300 random series of pieces the events of a completion are the same
--- a/features/steps/endless_response_steps.ts
+++ b/features/steps/endless_response_steps.ts
@@ -2,7 +2,9 @@
 import assert from 'node:assert/strict';
 import {readFileSync} from 'node:fs';
 import {Then, When} from '@cucumber/cucumber';
-import {sleep} from '@jasminepost/core';
+import fc from 'fast-check';
+import {sleep, UpstreamError} from '@jasminepost/core';
+import {CompletionEventParser} from '@jasminepost/engine';
 import type {EndlessResponse} from '../../stand_ins/users_platform/endless_response.ts';
 import {until} from '../support/fleet_process.ts';
 import {usersScenario, replicas} from '../support/users_scenario.ts';
@@ -15,6 +17,8 @@
 };
 const OTHER_CALL_INTERVAL_MS = 200;
 const CLOSE_TIMEOUT_MS = 1000;
+/** Callers leave a gateway that has not read their request by then. */
+const MAX_READ_MS = 1000;
 
 /** Peak resident memory of a process in MB. */
 function peakMemoryMb(pid: number): number {
@@ -39,6 +43,7 @@
     while (!ended) {
       const response = await fleet.call({path: otherPath});
       assert.equal(response.status, 200);
+      assert.ok(response.tookMs < MAX_READ_MS, `another request took ${response.tookMs} ms`);
       await sleep(OTHER_CALL_INTERVAL_MS);
     }
     await call;
@@ -96,3 +101,76 @@
     assert.ok(peakMb < maxMb, `${peakMb} MB`);
   },
 );
+
+interface GivenUpEvent {
+  readonly bytes: number;
+  readonly tookMs: number;
+}
+
+const givenUpEvents = new WeakMap<FleetWorld, GivenUpEvent>();
+/** Bytes after which the stand-in stops, whether or not the event was given up. */
+const LONGEST_EVENT_BYTES = 4_194_304;
+
+When(
+  "an engine's event without an end arrives in pieces of {int} bytes",
+  function (this: FleetWorld, pieceBytes: number) {
+    const parser = new CompletionEventParser();
+    const piece = Buffer.alloc(pieceBytes, 'x');
+    const startedMs = performance.now();
+    let bytes = 0;
+    try {
+      parser.push(Buffer.from('data: '));
+      for (; bytes < LONGEST_EVENT_BYTES; bytes += pieceBytes) parser.push(piece);
+    } catch (thrown) {
+      assert.ok(thrown instanceof UpstreamError, String(thrown));
+    }
+    givenUpEvents.set(this, {bytes, tookMs: performance.now() - startedMs});
+  },
+);
+
+Then(
+  'it is given up after at most {int} bytes, within {int} ms',
+  function (this: FleetWorld, maxBytes: number, withinMs: number) {
+    const {bytes, tookMs} = givenUpEvents.get(this)!;
+    assert.ok(bytes <= maxBytes, `${bytes} bytes`);
+    assert.ok(tookMs <= withinMs, `${tookMs} ms`);
+  },
+);
+
+Then(
+  'in {int} random series of pieces the events of a completion are the same',
+  function (numRuns: number) {
+    const texts = ['a', 'Tāmaki', 'two\nlines', '🜚'];
+    const lineEnd = fc.constantFrom('\n', '\r\n');
+    fc.assert(
+      fc.property(
+        fc.array(fc.constantFrom(...texts), {minLength: 1, maxLength: 8}),
+        lineEnd,
+        fc.array(fc.integer({min: 1, max: 40}), {minLength: 1}),
+        (parts, end, sizes) => {
+          const choices = parts.map(text => [{delta: {content: text}}]);
+          const events = choices.map(
+            choice => `data: ${JSON.stringify({choices: choice})}${end}${end}`,
+          );
+          const body = Buffer.from(`${events.join('')}data: [DONE]${end}${end}`);
+          const parser = new CompletionEventParser();
+          const received: string[] = [];
+          let done = false;
+          for (let at = 0, i = 0; at < body.length; i++) {
+            const size = sizes[i % sizes.length];
+            const parsed = parser.push(body.subarray(at, at + size));
+            received.push(...parsed.events);
+            done ||= parsed.done;
+            at += size;
+          }
+          assert.ok(done);
+          assert.deepEqual(
+            received,
+            choices.map(choice => JSON.stringify(choice)),
+          );
+        },
+      ),
+      {numRuns, seed: 20261205},
+    );
+  },
+);
--- a/packages/engine/src/lib/completion_event_parser.ts
+++ b/packages/engine/src/lib/completion_event_parser.ts
@@ -1,5 +1,10 @@
 /** Parses the server-sent events of a completion into the parts that are forwarded. */
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {GrowingBuffer, UpstreamError} from '@jasminepost/core';
+
+const NEWLINE = 0x0a;
+/** Longer events are taken to be endless: engines send a few tokens per event. */
+const MAX_EVENT_BYTES = 1_048_576;
 
 interface CompletionEvent {
   readonly choices?: readonly unknown[];
@@ -25,17 +30,36 @@
   private usage = '';
   private done = false;
   private error = '';
+  /** The incomplete last line. */
+  private readonly partialLine = new GrowingBuffer();
+  /** Bytes received since the last complete event. */
+  private bytesSinceEvent = 0;
   private readonly parser = createParser({onEvent: event => this.handleEvent(event)});
 
-  /** Parses a chunk of the body; returns complete events and buffers an incomplete one. */
+  /**
+   * Parses a chunk of the body; returns complete events and buffers an incomplete one.
+   *
+   * @throws UpstreamError when an event exceeds the size limit.
+   */
   push(bytes: Uint8Array): ParsedEvents {
-    this.parser.feed(this.decoder.decode(bytes, {stream: true}));
+    this.bytesSinceEvent += bytes.length;
+    const lineEnd = bytes.lastIndexOf(NEWLINE) + 1;
+    const partialBytes = this.partialLine.length;
+    this.partialLine.append(bytes);
+    // The parser searches an incomplete line again with each chunk, so it gets whole lines only.
+    if (lineEnd > 0) {
+      const lines = this.partialLine.take(partialBytes + lineEnd);
+      this.parser.feed(this.decoder.decode(lines, {stream: true}));
+    }
+    if (this.bytesSinceEvent > MAX_EVENT_BYTES)
+      throw new UpstreamError('endless_event', `no end after ${this.bytesSinceEvent} bytes`);
     const batch = {events: this.events, usage: this.usage, done: this.done, error: this.error};
     this.events = [];
     return batch;
   }
 
   private handleEvent(event: EventSourceMessage): void {
+    this.bytesSinceEvent = 0;
     if (event.data === '[DONE]') {
       this.done = true;
       return;
--- a/stand_ins/users_platform/endless_response.ts
+++ b/stand_ins/users_platform/endless_response.ts
@@ -11,9 +11,12 @@
   | 'a body without a length'
   | 'a chunk extension'
   | 'trailers'
-  | 'an event';
+  | 'an event'
+  | 'an event in small chunks';
 
 const INTERVAL_MS = 1;
+/** Small chunks that are written at once. */
+const SMALL_CHUNKS = 8000;
 
 /** @param head - Status line and headers of a valid response, without the empty line. */
 export function writeEndless(
@@ -67,5 +70,7 @@
       return [`${chunked}0\r\n`, headerLines];
     case 'an event':
       return [`${chunked}`, chunk];
+    case 'an event in small chunks':
+      return [chunked, '8\r\nxxxxxxxx\r\n'.repeat(SMALL_CHUNKS)];
   }
 }
