Answer or refuse every request that reaches a stopping gateway

Cause: only the arrival of the head was checked against closing; nothing answered what still ran at the exit; and Node hands on a pipelined request at once but closes its connection after a response with "connection: close". Told apart by the answers of each connection.

Change: a first attempt is never sent once the gateway is closing; what still runs at the end gets 504; the requests of a connection are handled one after the other, and it ends with the last response due on it. The entry had the last fault too and uses the same sequence. The judgement of a response head moved to response_fault.ts, without a change.

--- a/apps/entry/src/wire.ts
+++ b/apps/entry/src/wire.ts
@@ -63,6 +63,7 @@
   let hasInstanceList = false;
   let liveEntries = 1;
   let leaving = false;
+  let isClosing = false;
 
   const fleet: Fleet = new Fleet(
     self,
@@ -123,11 +124,8 @@
     if (config.activeConfig.current === undefined) return 'no configuration yet';
     return hasInstanceList ? undefined : 'no instance list yet';
   };
-  const callerBackend = new EntryCallerBackend(
-    config.activeConfig,
-    dispatcher,
-    metrics,
-    notReadyReason,
+  const callerBackend = new EntryCallerBackend(config.activeConfig, dispatcher, metrics, () =>
+    isClosing ? 'leaving' : notReadyReason(),
   );
   const callerServer = new CallerHttpServer(callerBackend, {
     maxBodyBytes: settings.maxBodyBytes,
@@ -208,6 +206,8 @@
     // A load balancer takes this long to notice the failing /readyz; new requests are served
     // until then.
     await sleep(settings.drainNoticeMs);
+    // Connections stay open for the responses that are due; new requests on them are refused.
+    isClosing = true;
     callerServer.stopListening();
     await dispatcher.whenIdle();
     callerServer.close();
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -1,7 +1,7 @@
 /** Life cycle of one caller's request, from its arrival to the final response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {onCallerDisconnect} from '@jasminepost/caller';
-import {mayHaveRun, errorMessage, notRun, type Verdict} from '@jasminepost/core';
+import {assertNever, mayHaveRun, errorMessage, notRun, type Verdict} from '@jasminepost/core';
 import {
   retryAfterHeader,
   type CallerHeaders,
@@ -17,16 +17,16 @@
   type GenerationParams,
   type Route,
 } from '@jasminepost/serving';
-import {findContinuationFault, findResponseFault} from './response_fault.ts';
+import {judgeResponse} from './response_fault.ts';
 import {ResponseRelay, sendLocalResponse} from './response_relay.ts';
 import {Attempt} from './attempt.ts';
-import {isFromOtherReplica, recordResponseHead} from './response_head.ts';
+import {isFromOtherReplica, recordFirstEvent, recordResponseHead} from './response_head.ts';
 import {RequestLog} from './request_log.ts';
 import {MIN_SERVICE_MS, scheduleRequest} from './request_schedule.ts';
 import {StreamVersionGate} from './stream_version_gate.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RequestContent} from './crash_suspects.ts';
-import type {QueuedGeneration} from './generation_queue.ts';
+import {LEAVING_RETRY_AFTER_MS, type QueuedGeneration} from './generation_queue.ts';
 import type {GatewayContext} from './gateway_context.ts';
 import type {RequestOutcome} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
@@ -57,7 +57,6 @@
   private exchange: RequestHandle | undefined;
   /** The most recent attempt. */
   private attempt: Attempt | undefined;
-  private hasPossiblyRun = false;
   /** Data of the current attempt that waits until the version of the stream is recorded. */
   private readonly heldEvents: Buffer[] = [];
   private finished = false;
@@ -104,6 +103,10 @@
     return this.versionGate.requiredVersion;
   }
 
+  get hasBeenSent(): boolean {
+    return this.sendCount > 0;
+  }
+
   start(): void {
     const {clock} = this.ctx;
     this.timer = setTimeout(() => this.onDeadline(), this.deadlineMs - clock.monotonicMs());
@@ -158,16 +161,20 @@
   refuse(reason: string, retryAfterMs: number, logFields: Readonly<Record<string, unknown>>): void {
     if (this.finished) return;
     this.ctx.metrics.refusals.increment(reason);
-    if (this.hasPossiblyRun) {
+    if (this.runs > 0) {
       this.fail(502, reason, logFields);
       return;
     }
     const leftMs = Math.max(0, this.deadlineMs - this.ctx.clock.monotonicMs());
     const header = retryAfterHeader(Math.min(retryAfterMs, leftMs));
-    sendLocalResponse(this.res, 503, reason, this.ctx.isDraining(), header);
+    sendLocalResponse(this.res, 503, reason, this.ctx.endsConnection(this.req), header);
     this.finish('refused', {reason, retryAfterMs: Math.round(retryAfterMs), ...logFields});
   }
 
+  endBeforeExit(): void {
+    this.giveUp('leaving', LEAVING_RETRY_AFTER_MS);
+  }
+
   holdMs(): number {
     return this.crashGate.holdMs();
   }
@@ -189,50 +196,54 @@
 
   /** Hands the request to the queue for its service, which sends it at once where it can. */
   private submitToQueue(): void {
+    // A first attempt might not end before the process does; another gateway can serve it now.
+    if (!this.hasBeenSent && this.ctx.isClosing()) {
+      this.refuse('leaving', LEAVING_RETRY_AFTER_MS, {});
+      return;
+    }
     const refusal = this.versionGate.check();
     if (refusal !== undefined) {
       this.refuse(refusal, DEFAULT_RETRY_AFTER_MS, {version: this.requiredVersion});
       return;
     }
-    const engine = this.ctx.engineOf(this.service);
-    if (engine !== undefined && this.head.generation !== undefined) {
-      this.ctx.generations.submit(this);
-      return;
-    }
-    this.ctx.services.submit(this);
+    const hasEngine = this.ctx.engineOf(this.service) !== undefined;
+    if (hasEngine && this.head.generation !== undefined) this.ctx.generations.submit(this);
+    else this.ctx.services.submit(this);
   }
 
   private onHead(head: ReplicaResponseHead): void {
     const {replica, sentMs} = this.attempt!;
     const nowMs = this.ctx.clock.monotonicMs();
-    if (head.requestId !== this.head.requestId) {
-      // Responses on this connection are out of order: this one may be a repeated earlier response.
-      this.abortAttempt(
-        head.requestId === '' ? 'response without id' : 'response to another request',
-      );
-      return;
-    }
-    recordResponseHead(this.ctx, this.attempt!, head);
-    if (head.status !== 421) replica.onResponse(sentMs, nowMs);
-    if (head.notRun) {
-      if (isFromOtherReplica(head, replica)) replica.addressReassigned = true;
-      this.onAttemptFailed(
-        {verdict: notRun('upstream_refused'), detail: `status ${head.status}`},
-        false,
-      );
-      return;
+    const verdict = judgeResponse(head, {
+      requestId: this.head.requestId,
+      isContinuation: this.relay.headSent,
+      canRetry: this.route.kind === 'idempotent' && this.runs + 1 < this.route.maxAttempts,
+    });
+    if (verdict.kind !== 'foreign') {
+      recordResponseHead(this.ctx, this.attempt!, head);
+      if (head.status !== 421) replica.onResponse(sentMs, nowMs);
     }
-    const canRetry = this.route.kind === 'idempotent' && this.runs + 1 < this.route.maxAttempts;
-    const detail = this.relay.headSent
-      ? findContinuationFault(head)
-      : findResponseFault(head, canRetry);
-    if (detail !== undefined) {
-      // A well-formed error response leaves the connection usable, so only others are aborted.
-      if (head.status < 400) this.exchange?.abort();
-      this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail}, true);
-      return;
+    switch (verdict.kind) {
+      case 'usable':
+        this.relay.head(head, this.ctx.endsConnection(this.req));
+        return;
+      case 'not_run': {
+        if (isFromOtherReplica(head, replica)) replica.addressReassigned = true;
+        const {detail} = verdict;
+        this.onAttemptFailed({verdict: notRun('upstream_refused'), detail}, false);
+        return;
+      }
+      case 'faulty':
+        // A well-formed error response leaves the connection usable, so only others are aborted.
+        if (head.status < 400) this.exchange?.abort();
+        this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail: verdict.detail}, true);
+        return;
+      case 'foreign':
+        this.abortAttempt(verdict.detail);
+        return;
+      default:
+        assertNever(verdict);
     }
-    this.relay.head(head, this.ctx.isDraining());
   }
 
   private onData(chunk: Buffer): boolean {
@@ -240,7 +251,10 @@
       this.heldEvents.push(chunk);
       return false;
     }
-    if (this.attempt!.firstEventMs === 0) this.onFirstEvent(this.attempt!);
+    if (this.attempt!.firstEventMs === 0) {
+      if (this.relay.isStream) this.versionGate.onFirstEvent(this.attempt!.replica);
+      recordFirstEvent(this.ctx, this.attempt!, this.arrivedMs, this.head.generation);
+    }
     const hasCapacity = this.relay.data(chunk, () => this.exchange?.resume());
     const {eventFault} = this.relay;
     if (eventFault !== undefined) this.abortAttempt(eventFault);
@@ -260,21 +274,6 @@
     this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail}, true);
   }
 
-  private onFirstEvent(attempt: Attempt): void {
-    const nowMs = this.ctx.clock.monotonicMs();
-    if (this.relay.isStream) this.versionGate.onFirstEvent(attempt.replica);
-    const elapsedMs = attempt.onFirstEvent(nowMs);
-    this.ctx.metrics.firstEvent.recordMs(nowMs - this.arrivedMs);
-    const {generation} = this.head;
-    if (generation !== undefined) {
-      attempt.replica.recordPrefill(elapsedMs / (attempt.awaitingBefore + 1));
-      if (attempt.awaitingBefore === 0) {
-        this.ctx.estimator.addSample(generation.model, generation.tokensIn, elapsedMs);
-      }
-    }
-    this.ctx.generations.scheduleDispatch();
-  }
-
   private onEnd(): void {
     const {replica, sentMs} = this.attempt!;
     const nowMs = this.ctx.clock.monotonicMs();
@@ -308,10 +307,7 @@
     this.excluded.add(replica.id);
     const {verdict} = failure;
     metrics.attemptFailures.increment(verdict.reason);
-    if (verdict.kind === 'may_have_run') {
-      this.runs += 1;
-      this.hasPossiblyRun = true;
-    }
+    if (verdict.kind === 'may_have_run') this.runs += 1;
     const isNotRun = verdict.kind === 'not_run';
     const decision = decideRetry({
       verdict,
@@ -335,12 +331,17 @@
   }
 
   private onDeadline(): void {
+    this.giveUp('deadline_passed', 0);
+  }
+
+  /** Ends an unfinished request with a response while there still is time to send one. */
+  private giveUp(reason: string, retryAfterMs: number): void {
     if (this.finished) return;
     const sent = this.exchange !== undefined;
     this.leaveQueues();
     if (sent) this.abortExchange();
-    if (!sent && this.sendCount === 0) this.refuse('deadline_passed', 0, {});
-    else this.fail(504, 'deadline_passed', {});
+    if (!sent && !this.hasBeenSent) this.refuse(reason, retryAfterMs, {});
+    else this.fail(504, reason, {});
   }
 
   private onCallerGone(): void {
@@ -383,7 +384,7 @@
       this.relay.cut();
       return;
     }
-    sendLocalResponse(this.res, status, reason, this.ctx.isDraining(), {});
+    sendLocalResponse(this.res, status, reason, this.ctx.endsConnection(this.req), {});
     this.finish(status === 504 ? 'timed_out' : 'failed', {reason, ...logFields});
   }
 
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers: routing, request limits, and requests in progress. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {readBody} from '@jasminepost/caller';
+import {readBody, RequestSequence} from '@jasminepost/caller';
 import {assertNever, listenOn, errorMessage, type HostPort} from '@jasminepost/core';
 import {parseCallerHeaders, retryAfterHeader} from '@jasminepost/platform';
 import type {RouteTable} from '@jasminepost/serving';
@@ -23,6 +23,10 @@
 export class CallerServer {
   readonly running = new Set<CallerRequest>();
   private readonly server: Server;
+  private readonly sequence = new RequestSequence({
+    onRequest: (req, res, arrivedMs) => this.handle(req, res, arrivedMs),
+    onFollowed: () => undefined,
+  });
   private routes: RouteTable | undefined;
   /** Number of requests whose body is being read. */
   private readingBodies = 0;
@@ -34,13 +38,14 @@
       req.on('error', () => undefined);
       // A connection reset by the caller is handled through the response's close event.
       res.on('error', () => undefined);
-      this.handle(req, res, this.ctx().clock.monotonicMs());
+      this.sequence.accept(req, res);
     });
   }
 
   /** Number of requests that have been accepted and have not ended. */
   get busy(): number {
-    return this.running.size + this.readingBodies + this.awaitingConfig.size;
+    const {running, readingBodies, awaitingConfig, sequence} = this;
+    return running.size + readingBodies + awaitingConfig.size + sequence.waiting;
   }
 
   async listen(address: HostPort): Promise<void> {
@@ -66,6 +71,16 @@
     this.server.closeIdleConnections();
   }
 
+  /** True when another request follows on the connection, so that it must stay open. */
+  isFollowed(req: IncomingMessage): boolean {
+    return this.sequence.isFollowed(req);
+  }
+
+  /** Answers all requests that are still running, before the process ends. */
+  endRunning(): void {
+    for (const request of [...this.running]) request.endBeforeExit();
+  }
+
   onFinished(request: CallerRequest): void {
     this.running.delete(request);
   }
@@ -139,6 +154,11 @@
     startedMs: number,
   ): void {
     const ctx = this.ctx();
+    // The grace period may have run out for it while its body was being read.
+    if (ctx.isClosing()) {
+      this.refuse(req, res, 'leaving', LEAVING_RETRY_AFTER_MS);
+      return;
+    }
     const host = (req.headers.host ?? '').toLowerCase().replace(/:\d+$/, '');
     const path = (req.url ?? '/').split('?', 1)[0];
     // Uses the newest configuration, which may have arrived while the body was being read.
@@ -151,7 +171,7 @@
         path,
         config: ctx.configVersion(),
       });
-      sendLocalResponse(res, 404, 'no_route', ctx.isDraining());
+      sendLocalResponse(res, 404, 'no_route', ctx.endsConnection(req));
       return;
     }
     const head = parseCallerHeaders(req.headers);
@@ -193,7 +213,8 @@
       status,
       reason,
     });
-    sendLocalResponse(res, status, reason, ctx.isDraining() || status === 413, headers);
+    const endsConnection = ctx.endsConnection(req) || status === 413;
+    sendLocalResponse(res, status, reason, endsConnection, headers);
     req.resume();
   }
 }
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -1,4 +1,5 @@
 /** Parts of the gateway that the handling of a caller's request depends on. */
+import type {IncomingMessage} from 'node:http';
 import type {Clock, Logger, UnreadHeaderCounter} from '@jasminepost/core';
 import type {PriorWaitEstimator, StreamVersions, WindowedRetryBudget} from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
@@ -38,8 +39,8 @@
   gateways(): number;
   /** Version of the active configuration; 0 before the first. */
   configVersion(): number;
-  /** True from the start of a graceful shutdown on. */
-  isDraining(): boolean;
+  /** True when the connection must end with the response: in a graceful shutdown. */
+  endsConnection(req: IncomingMessage): boolean;
   /** True once only requests that have already been sent may finish before the exit. */
   isClosing(): boolean;
   /** True while the first attempt to read the configuration is in progress. */
--- a/apps/gateway/src/lib/graceful_shutdown.ts
+++ b/apps/gateway/src/lib/graceful_shutdown.ts
@@ -36,7 +36,9 @@
       await sleep(POLL_MS);
       server.closeIdle();
     }
+    const unfinished = server.busy;
+    server.endRunning();
     const tookMs = Math.round(clock.monotonicMs() - startedMs);
-    log.info('stopped', {unfinished: server.busy, tookMs});
+    log.info('stopped', {unfinished, tookMs});
   }
 }
--- a/apps/gateway/src/lib/response_fault.ts
+++ b/apps/gateway/src/lib/response_fault.ts
@@ -1,6 +1,25 @@
 /** Detects responses of replicas that must not be forwarded to the caller. */
 import type {ReplicaResponseHead} from '@jasminepost/platform';
 
+/**
+ * What a response means for its attempt. `foreign`: it may belong to another request, since responses
+ * on its connection are out of order.
+ *
+ * @internal
+ */
+export type ResponseVerdict =
+  | {readonly kind: 'usable'}
+  | {readonly kind: 'foreign' | 'not_run' | 'faulty'; readonly detail: string};
+
+/** @internal */
+export interface ResponseExpectation {
+  readonly requestId: string;
+  /** True when the response continues a stream whose beginning the caller has. */
+  readonly isContinuation: boolean;
+  /** True when the request may still be retried on another replica. */
+  readonly canRetry: boolean;
+}
+
 /** Statuses from which a caller concludes that its request was not executed. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 429, 503];
 
@@ -11,12 +30,8 @@
  * @returns Undefined when the response may be forwarded.
  * @example
  * findResponseFault({...head, status: 200, isSigned: false}, false); // 'unsigned response'
- * @internal
  */
-export function findResponseFault(
-  head: ReplicaResponseHead,
-  canRetry: boolean,
-): string | undefined {
+function findResponseFault(head: ReplicaResponseHead, canRetry: boolean): string | undefined {
   const {status} = head;
   if (status < 300 && !head.isSigned) return 'unsigned response';
   if (status >= 500 && canRetry) return `status ${status}`;
@@ -30,10 +45,29 @@
  * Finds the reason for which a response can't continue a stream whose beginning the caller has.
  *
  * @returns Undefined when the response may be forwarded.
- * @internal
  */
-export function findContinuationFault(head: ReplicaResponseHead): string | undefined {
+function findContinuationFault(head: ReplicaResponseHead): string | undefined {
   if (head.status !== 200) return `status ${head.status} for the rest of a stream`;
   if (!head.isSigned) return 'unsigned response';
   return head.isEventStream ? undefined : 'no event stream for the rest of a stream';
 }
+
+/**
+ * Judges a response by its head.
+ *
+ * @example
+ * judgeResponse(head, {requestId: 'a', isContinuation: false, canRetry: true}).kind;
+ * @internal
+ */
+export function judgeResponse(
+  head: ReplicaResponseHead,
+  {requestId, isContinuation, canRetry}: ResponseExpectation,
+): ResponseVerdict {
+  if (head.requestId !== requestId) {
+    const detail = head.requestId === '' ? 'response without id' : 'response to another request';
+    return {kind: 'foreign', detail};
+  }
+  if (head.notRun) return {kind: 'not_run', detail: `status ${head.status}`};
+  const fault = isContinuation ? findContinuationFault(head) : findResponseFault(head, canRetry);
+  return fault === undefined ? {kind: 'usable'} : {kind: 'faulty', detail: fault};
+}
--- a/apps/gateway/src/lib/response_head.ts
+++ b/apps/gateway/src/lib/response_head.ts
@@ -1,5 +1,6 @@
-/** Records what a response head states about its replica: load, rate limit, leaving, and pauses. */
+/** Records what a response shows of its replica: load, rate limit, leaving, pauses, and speed. */
 import type {ReplicaResponseHead} from '@jasminepost/platform';
+import type {GenerationParams} from '@jasminepost/serving';
 import type {GatewayContext} from './gateway_context.ts';
 import type {Attempt} from './attempt.ts';
 import type {Replica} from './replica.ts';
@@ -50,3 +51,27 @@
   replica.recordEvent({kind: 'turned_away', pauseMs: (pauseMs ?? 0) + jitterMs}, nowMs);
   if (jitterMs > 0) log.info('replica paused', {replica: replica.id, pauseMs});
 }
+
+/**
+ * Records the time that the replica took for the first event.
+ *
+ * @param arrivedMs - Monotonic time at which the request arrived.
+ * @internal
+ */
+export function recordFirstEvent(
+  ctx: GatewayContext,
+  attempt: Attempt,
+  arrivedMs: number,
+  generation: GenerationParams | undefined,
+): void {
+  const nowMs = ctx.clock.monotonicMs();
+  const elapsedMs = attempt.onFirstEvent(nowMs);
+  ctx.metrics.firstEvent.recordMs(nowMs - arrivedMs);
+  if (generation !== undefined) {
+    attempt.replica.recordPrefill(elapsedMs / (attempt.awaitingBefore + 1));
+    if (attempt.awaitingBefore === 0) {
+      ctx.estimator.addSample(generation.model, generation.tokensIn, elapsedMs);
+    }
+  }
+  ctx.generations.scheduleDispatch();
+}
--- a/apps/gateway/src/lib/service_queue.ts
+++ b/apps/gateway/src/lib/service_queue.ts
@@ -18,6 +18,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Software version that must serve it; undefined for any. */
   readonly requiredVersion: string | undefined;
+  /** True after the first attempt. */
+  readonly hasBeenSent: boolean;
   send(replica: Replica, logFields: Readonly<Record<string, unknown>>): void;
   refuse(reason: string, retryAfterMs: number, logFields: Readonly<Record<string, unknown>>): void;
   /** Time for which it is held because it may crash replicas; 0 when it may be sent. */
@@ -82,6 +84,10 @@
 
   private dispatchOrQueue(request: QueuedServiceRequest, ahead: number): void {
     const ctx = this.context();
+    if (ctx.isClosing() && !request.hasBeenSent) {
+      request.refuse('leaving', LEAVING_RETRY_AFTER_MS, {});
+      return;
+    }
     const holdMs = request.holdMs();
     if (holdMs > 0) {
       request.refuse('crashes_replicas', holdMs, {});
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -205,7 +205,7 @@
     retryBudget: service => budgets.forService(service),
     gateways,
     configVersion: () => activeConfig.version,
-    isDraining: () => shutdown.draining,
+    endsConnection: req => shutdown.draining && !server.isFollowed(req),
     isClosing: () => shutdown.closing,
     isStarting: () => fleetWatcher.isFirstCall && !shutdown.draining,
     onFinished: request => server.onFinished(request),
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -15,3 +15,4 @@
 } from './lib/error_response.ts';
 export {readBody, type BodyReadResult} from './lib/body_reader.ts';
 export {onCallerDisconnect} from './lib/response_writer.ts';
+export {RequestSequence, type RequestSequenceEvents} from './lib/request_sequence.ts';
--- a/packages/caller/src/lib/caller_http_server.ts
+++ b/packages/caller/src/lib/caller_http_server.ts
@@ -8,6 +8,7 @@
 import {readBody} from './body_reader.ts';
 import {rejectionResponse, type ErrorResponse} from './error_response.ts';
 import {CompletionSink} from './completion_sink.ts';
+import {RequestSequence} from './request_sequence.ts';
 import {sendErrorResponse} from './response_writer.ts';
 import {ServiceSink} from './service_sink.ts';
 
@@ -60,6 +61,7 @@
 /** @public */
 export class CallerHttpServer {
   private readonly server: Server;
+  private readonly sequence: RequestSequence;
   private leaving = false;
   private readonly router = findMyWay<findMyWay.HTTPVersion.V1>({
     maxParamLength: 1024,
@@ -70,8 +72,17 @@
     private readonly backend: CallerBackend,
     private readonly limits: CallerHttpServerLimits,
   ) {
+    this.sequence = new RequestSequence({
+      onRequest: (req, res) => {
+        this.router.lookup(req, res);
+      },
+      // Its connection ends with the last response that is due on it.
+      onFollowed: current => {
+        if (!current.headersSent) current.removeHeader('connection');
+      },
+    });
     this.server = createServer({maxHeaderSize: MAX_HEADER_BYTES}, (req, res) => {
-      this.router.lookup(req, res);
+      this.sequence.accept(req, res);
     });
     this.server.requestTimeout = 0;
     this.router.on(
@@ -118,7 +129,8 @@
     const requestId = newId('req');
     const notReady = this.backend.notReadyReason();
     // Closing the keep-alive connection makes the caller reconnect through the load balancer.
-    if (this.leaving || notReady !== undefined) res.setHeader('connection', 'close');
+    if ((this.leaving || notReady !== undefined) && !this.sequence.isFollowed(req))
+      res.setHeader('connection', 'close');
     if (notReady !== undefined) {
       this.reject(res, requestId, rejectionResponse('not_ready', notReady));
       return;
@@ -207,6 +219,12 @@
       'kind' | 'target' | 'adapter' | 'path' | 'body' | 'prefixHash' | 'resumable'
     > & {readonly isNonIdempotent: boolean},
   ): void {
+    // It may have begun to shut down while the body was being read.
+    const notReady = this.backend.notReadyReason();
+    if (notReady !== undefined) {
+      this.reject(res, requestId, rejectionResponse('not_ready', notReady));
+      return;
+    }
     const method = req.method ?? 'POST';
     const idempotencyKey = headerText(req, 'idempotency-key');
     const isNonIdempotent =
--- /dev/null
+++ b/packages/caller/src/lib/request_sequence.ts
@@ -0,0 +1,81 @@
+/** Handles the requests of each connection one after the other. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+interface PendingRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly arrivedMs: number;
+}
+
+interface Connection {
+  current: ServerResponse;
+  readonly pending: PendingRequest[];
+}
+
+/** @public */
+export interface RequestSequenceEvents {
+  /** @param arrivedMs - Monotonic time at which the head had arrived. */
+  onRequest(req: IncomingMessage, res: ServerResponse, arrivedMs: number): void;
+  /** Called when another request follows on the connection of a response. */
+  onFollowed(current: ServerResponse): void;
+}
+
+/**
+ * A response may close its connection. A request that has arrived behind it (pipelining) would
+ * then have run without an answer, so it is not handled before the response has ended.
+ *
+ * @example
+ * const sequence = new RequestSequence({onRequest: handle, onFollowed: () => undefined});
+ * const server = createServer((req, res) => sequence.accept(req, res));
+ * @public
+ */
+export class RequestSequence {
+  /** Number of requests that wait for an earlier one on their connection. */
+  waiting = 0;
+  private readonly connections = new WeakMap<Socket, Connection>();
+
+  constructor(private readonly events: RequestSequenceEvents) {}
+
+  accept(req: IncomingMessage, res: ServerResponse): void {
+    const {socket} = req;
+    const arrivedMs = performance.now();
+    const connection = this.connections.get(socket);
+    if (connection !== undefined) {
+      connection.pending.push({req, res, arrivedMs});
+      this.waiting += 1;
+      this.events.onFollowed(connection.current);
+      return;
+    }
+    this.connections.set(socket, {current: res, pending: []});
+    this.handle({req, res, arrivedMs});
+  }
+
+  /** True when another request waits on the connection of the request. */
+  isFollowed({socket}: IncomingMessage): boolean {
+    return (this.connections.get(socket)?.pending.length ?? 0) > 0;
+  }
+
+  private handle({req, res, arrivedMs}: PendingRequest): void {
+    res.once('close', () => this.handleNext(req.socket));
+    this.events.onRequest(req, res, arrivedMs);
+  }
+
+  private handleNext(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined) return;
+    if (socket.destroyed || socket.writableEnded) {
+      this.waiting -= connection.pending.length;
+      this.connections.delete(socket);
+      return;
+    }
+    const next = connection.pending.shift();
+    if (next === undefined) {
+      this.connections.delete(socket);
+      return;
+    }
+    this.waiting -= 1;
+    connection.current = next.res;
+    this.handle(next);
+  }
+}
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -285,16 +285,16 @@
   },
   {
     name: 'any response may continue a stream',
-    file: 'apps/gateway/src/lib/caller_request.ts',
-    find: '? findContinuationFault(head)',
-    replace: '? undefined',
+    file: 'apps/gateway/src/lib/response_fault.ts',
+    find: 'isContinuation ? findContinuationFault(head)',
+    replace: 'isContinuation ? undefined',
     features: ['features/broken_streams.feature', '--name', 'resumes with status 404'],
   },
   {
     name: 'a response without an id is believed',
-    file: 'apps/gateway/src/lib/caller_request.ts',
-    find: 'if (head.requestId !== this.head.requestId) {',
-    replace: "if (head.requestId !== '' && head.requestId !== this.head.requestId) {",
+    file: 'apps/gateway/src/lib/response_fault.ts',
+    find: 'if (head.requestId !== requestId) {',
+    replace: "if (head.requestId !== '' && head.requestId !== requestId) {",
     features: ['features/repeated_refusals.feature', '--name', 'without an id'],
   },
   {
@@ -318,4 +318,18 @@
     replace: 'if (this.finished) {',
     features: ['features/stream_versions.feature', '--name', 'recorded while the store is away'],
   },
+  {
+    name: 'a request is sent although its body came late in the grace period',
+    file: 'apps/gateway/src/lib/caller_server.ts',
+    find: 'if (ctx.isClosing()) {',
+    replace: 'if (ctx.isStarting()) {',
+    features: ['features/stops.feature', '--name', 'last byte'],
+  },
+  {
+    name: 'a pipelined request runs before the response ahead of it has ended',
+    file: 'packages/caller/src/lib/request_sequence.ts',
+    find: 'if (connection !== undefined) {',
+    replace: 'if (connection === undefined && socket.destroyed) {',
+    features: ['features/stops.feature', '--name', 'pipelined'],
+  },
 ];
