Check for closing once, where a first attempt is queued

The mutant that removes the check after the body was read survived: a check further on covers it. Each queue now checks before it dispatches or queues a first attempt, which covers slow bodies, held requests, resumed streams and those that waited for a configuration; the others are gone. The mutant removes the check of the plain queue and is killed: 1 of 5 scenarios of late bodies fails. All 9 scenarios of stops.feature pass.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -196,11 +196,6 @@
 
   /** Hands the request to the queue for its service, which sends it at once where it can. */
   private submitToQueue(): void {
-    // A first attempt might not end before the process does; another gateway can serve it now.
-    if (!this.hasBeenSent && this.ctx.isClosing()) {
-      this.refuse('leaving', LEAVING_RETRY_AFTER_MS, {});
-      return;
-    }
     const refusal = this.versionGate.check();
     if (refusal !== undefined) {
       this.refuse(refusal, DEFAULT_RETRY_AFTER_MS, {version: this.requiredVersion});
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -154,11 +154,6 @@
     startedMs: number,
   ): void {
     const ctx = this.ctx();
-    // The grace period may have run out for it while its body was being read.
-    if (ctx.isClosing()) {
-      this.refuse(req, res, 'leaving', LEAVING_RETRY_AFTER_MS);
-      return;
-    }
     const host = (req.headers.host ?? '').toLowerCase().replace(/:\d+$/, '');
     const path = (req.url ?? '/').split('?', 1)[0];
     // Uses the newest configuration, which may have arrived while the body was being read.
--- a/apps/gateway/src/lib/generation_queue.ts
+++ b/apps/gateway/src/lib/generation_queue.ts
@@ -80,6 +80,11 @@
       });
       return;
     }
+    // A first attempt might not end before the process does; another gateway can serve it now.
+    if (ctx.isClosing() && !request.hasBeenSent) {
+      request.refuse('leaving', LEAVING_RETRY_AFTER_MS, {});
+      return;
+    }
     ctx.demand.count(request.service, request.generation, request.isDelayTolerant);
     const {ahead, aheadAtPriority} = this.countAhead(request);
     const outcome = ahead > 0 ? ctx.selector.waitReasonBehind(request) : this.tryDispatch(request);
--- a/apps/gateway/src/lib/service_queue.ts
+++ b/apps/gateway/src/lib/service_queue.ts
@@ -84,6 +84,7 @@
 
   private dispatchOrQueue(request: QueuedServiceRequest, ahead: number): void {
     const ctx = this.context();
+    // A first attempt might not end before the process does; another gateway can serve it now.
     if (ctx.isClosing() && !request.hasBeenSent) {
       request.refuse('leaving', LEAVING_RETRY_AFTER_MS, {});
       return;
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -320,9 +320,9 @@
   },
   {
     name: 'a request is sent although its body came late in the grace period',
-    file: 'apps/gateway/src/lib/caller_server.ts',
-    find: 'if (ctx.isClosing()) {',
-    replace: 'if (ctx.isStarting()) {',
+    file: 'apps/gateway/src/lib/service_queue.ts',
+    find: 'if (ctx.isClosing() && !request.hasBeenSent) {',
+    replace: 'if (ctx.isClosing() && request.hasBeenSent) {',
     features: ['features/stops.feature', '--name', 'last byte'],
   },
   {
