Close responses that nobody needs any more

Cause: when an attempt ended by a failure that is retried or by a refusal, its response went on being read without a limit. Of the ways in which an attempt ends, four did so. On the other front, the verdict of a refusal waited for the end of its body.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -361,6 +361,7 @@
   }
 
   private endAttempt(): void {
+    this.exchange?.discard();
     this.exchange = undefined;
     this.heldEvents.length = 0;
     this.attempt?.end();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
   errorMessage,
   type DeclarationIssue,
 } from './lib/errors.ts';
+export {discardBody, MAX_DISCARD_BYTES, MAX_DISCARD_MS} from './lib/discard_body.ts';
 export {GrowingBuffer} from './lib/growing_buffer.ts';
 export {newId} from './lib/ids.ts';
 export {installUncaughtErrorHandlers} from './lib/uncaught_errors.ts';
--- a/packages/engine/src/lib/completion_call.ts
+++ b/packages/engine/src/lib/completion_call.ts
@@ -2,6 +2,8 @@
 import {Agent, request, type Dispatcher} from 'undici';
 import {
   completed,
+  discardBody,
+  GrowingBuffer,
   mayHaveRun,
   notRun,
   verdictForSendFailure,
@@ -9,6 +11,9 @@
 } from '@jasminepost/core';
 import {CompletionEventParser} from './completion_event_parser.ts';
 
+/** Longer error responses are taken to be endless. */
+const MAX_ERROR_BYTES = 1_048_576;
+
 const agent = new Agent({
   connections: null,
   connect: {timeout: 1000},
@@ -81,12 +86,20 @@
   input: CompletionInput,
   res: Dispatcher.ResponseData,
 ): Promise<Verdict> {
-  const bytes = new Uint8Array(await res.body.arrayBuffer());
-  if (res.statusCode === 404) return notRun('model_not_ready');
-  if (res.statusCode === 429 || res.statusCode === 503) return notRun('upstream_refused');
-  if (res.statusCode >= 500) return mayHaveRun('upstream_cut');
-  input.onHead(res.statusCode, {'content-type': 'application/json'});
-  await input.onBody(bytes);
+  const {statusCode} = res;
+  const isRefusal = statusCode === 404 || statusCode === 429 || statusCode === 503;
+  if (isRefusal || statusCode >= 500) {
+    discardBody(res.body);
+    if (statusCode === 404) return notRun('model_not_ready');
+    return isRefusal ? notRun('upstream_refused') : mayHaveRun('upstream_cut');
+  }
+  const body = new GrowingBuffer();
+  for await (const bytes of res.body as AsyncIterable<Uint8Array>) {
+    body.append(bytes);
+    if (body.length > MAX_ERROR_BYTES) return mayHaveRun('upstream_cut');
+  }
+  input.onHead(statusCode, {'content-type': 'application/json'});
+  await input.onBody(body.bytes);
   return completed('answered');
 }
 
--- a/packages/service/src/lib/service_call.ts
+++ b/packages/service/src/lib/service_call.ts
@@ -2,6 +2,7 @@
 import {Agent, request, type Dispatcher} from 'undici';
 import {
   completed,
+  discardBody,
   mayHaveRun,
   notRun,
   ResetDetector,
@@ -79,7 +80,7 @@
     return verdictForSendFailure(thrown);
   }
   if (res.headers[NOT_RUN_HEADER] !== undefined) {
-    await res.body.dump();
+    discardBody(res.body);
     return notRun('upstream_refused');
   }
   input.onHead(res.statusCode, withoutHopByHopHeaders(joinHeaderValues(res.headers)));
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -332,4 +332,11 @@
     replace: 'if (connection === undefined && socket.destroyed) {',
     features: ['features/stops.feature', '--name', 'pipelined'],
   },
+  {
+    name: 'the rest of an unneeded response is read without a limit',
+    file: 'apps/gateway/src/lib/caller_request.ts',
+    find: 'this.exchange?.discard();',
+    replace: '',
+    features: ['features/unneeded_responses.feature', '--name', 'slowly'],
+  },
 ];
--- a/stand_ins/users_platform/endless_response.ts
+++ b/stand_ins/users_platform/endless_response.ts
@@ -14,10 +14,35 @@
   | 'an event'
   | 'an event in small chunks';
 
+/** Head and send rate of an endless response. */
+export interface EndlessOptions {
+  readonly status: string;
+  /** Replace headers of the replica; an empty value omits the header. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly bytesPerMs: number;
+}
+
+export const DEFAULT_ENDLESS_OPTIONS: EndlessOptions = {
+  status: '200 OK',
+  headers: {},
+  bytesPerMs: 128 * 1024,
+};
+
 const INTERVAL_MS = 1;
 /** Small chunks that are written at once. */
 const SMALL_CHUNKS = 8000;
 
+/** Status line and headers of an endless response, without the empty line. */
+export function endlessHead(
+  ownHeaders: Readonly<Record<string, string>>,
+  {status, headers}: EndlessOptions,
+): string {
+  const lines = Object.entries({...ownHeaders, ...headers}).map(([name, value]) =>
+    value === '' ? '' : `${name}: ${value}\r\n`,
+  );
+  return `HTTP/1.1 ${status}\r\n${lines.join('')}`;
+}
+
 /** @param head - Status line and headers of a valid response, without the empty line. */
 export function writeEndless(
   socket: Socket,
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -3,7 +3,12 @@
 import type {AddressInfo} from 'node:net';
 import {resetConnection, sleep} from '@jasminepost/core';
 import {sendJson} from '../json_server.ts';
-import {writeEndless, type EndlessResponse} from './endless_response.ts';
+import {
+  DEFAULT_ENDLESS_OPTIONS,
+  endlessHead,
+  writeEndless,
+  type EndlessResponse,
+} from './endless_response.ts';
 import {streamEvents, writeStreamHead, type StreamFault} from './replica_stream.ts';
 import type {RepeatedRefusal} from './repeated_refusal.ts';
 import {sharedParts, type RecordedRequest} from './recorded_request.ts';
@@ -24,8 +29,7 @@
 const PAUSE_SLACK_MS = 500;
 /** Time after which a replica that reports leaving gets no more requests; from the settings. */
 const DRAIN_MS = 2000;
-/** Send rates of responses and reports that never end. */
-const RESPONSE_BYTES_PER_MS = 128 * 1024;
+/** Send rate of reports that never end. */
 const REPORT_BYTES_PER_MS = 1024 * 1024;
 
 export class UsersReplica {
@@ -63,6 +67,7 @@
   endlessResponse: EndlessResponse | undefined;
   endlessReport: EndlessResponse | undefined;
   onEndlessResponse: () => void = () => undefined;
+  endlessOptions = DEFAULT_ENDLESS_OPTIONS;
   /** Open connections with an endless response. */
   endlessConnections = 0;
   /** A request with this body crashes the replica. */
@@ -272,12 +277,12 @@
     const contentLength = {'content-length': String(text.length)};
     const {socket} = req;
     if (this.endlessResponse !== undefined) {
-      const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
       this.endlessConnections += 1;
-      const head = `HTTP/1.1 200 OK\r\n${lines.join('')}`;
-      const kind = this.endlessResponse;
+      const {endlessResponse: kind, endlessOptions: options} = this;
+      const head = endlessHead(headers, options);
       this.onEndlessResponse();
-      writeEndless(socket, kind, head, RESPONSE_BYTES_PER_MS, () => (this.endlessConnections -= 1));
+      const onClosed = () => (this.endlessConnections -= 1);
+      writeEndless(socket, kind, head, options.bytesPerMs, onClosed);
       return;
     }
     switch (this.fault) {
