Pass header bytes above 0x7F through unchanged

Callers of orders that had run got a closed connection when the answer had a byte above 0x7F in a header, which RFC 9110 allows.

Evidence: the two rows of header_bytes.feature with such bytes in a response failed before; all six rows pass.

--- a/apps/gateway/src/lib/response_relay.ts
+++ b/apps/gateway/src/lib/response_relay.ts
@@ -6,6 +6,7 @@
 
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
+const NO_BYTES = Buffer.alloc(0);
 
 /** @internal */
 export class ResponseRelay {
@@ -69,9 +70,9 @@
     const headers = isLengthKept ? [...head.headers] : withoutLength(head.headers);
     if (closeConnection || isCloseDelimited) headers.push('Connection', 'close');
     this.res.writeHead(head.status, headers);
-    // Flushed at once: the first event may take long, and the head tells the caller that a replica
-    // has accepted the request.
-    this.res.flushHeaders();
+    // Sent at once: the first event may take long, and the head tells the caller that a replica has
+    // accepted the request. `flushHeaders` would encode it as UTF-8, not byte for byte.
+    if (!hasNoBody) this.res.write(NO_BYTES);
   }
 
   /**
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -331,7 +331,7 @@
             req,
             res,
           );
-        else res.writeHead(200, {...headers, ...contentLength}).end(text);
+        else res.writeHead(200, {...headers, ...contentLength}).end(Buffer.from(text));
     }
   }
 
