Bound the incomplete events of all streams together

Every stream could hold 1 MiB of an incomplete event, so that replicas which send bytes without end could take a gateway past its memory limit.

Change: the incomplete events of all streams share a tenth of the memory limit of the settings; beyond it the stream that holds most ends, so that sound streams, which hold little, go on.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -26,7 +26,7 @@
 import {StreamVersionGate} from './stream_version_gate.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RequestContent} from './crash_suspects.ts';
-import {LEAVING_RETRY_AFTER_MS, type QueuedGeneration} from './generation_queue.ts';
+import type {QueuedGeneration} from './generation_queue.ts';
 import type {GatewayContext} from './gateway_context.ts';
 import type {RequestOutcome} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
@@ -88,7 +88,9 @@
     this.priority = route.priority;
     this.isDelayTolerant = route.targetLatencyMs >= DELAY_TOLERANT_TARGET_MS;
     this.isRetryable = route.kind === 'idempotent' || route.resumable;
-    this.relay = new ResponseRelay(res, req.method ?? '', route.resumable);
+    const {method = ''} = req;
+    const onEvicted = () => setImmediate(() => this.checkEvents());
+    this.relay = new ResponseRelay(res, method, route.resumable, ctx.eventMemory, onEvicted);
     const times = scheduleRequest(ctx, head, route, startedMs);
     this.deadlineMs = times.deadlineMs;
     this.sendByMs = times.sendByMs;
@@ -171,10 +173,6 @@
     this.finish('refused', {reason, retryAfterMs: Math.round(retryAfterMs), ...logFields});
   }
 
-  endBeforeExit(): void {
-    this.giveUp('leaving', LEAVING_RETRY_AFTER_MS);
-  }
-
   holdMs(): number {
     return this.crashGate.holdMs();
   }
@@ -251,11 +249,15 @@
       recordFirstEvent(this.ctx, this.attempt!, this.arrivedMs, this.head.generation);
     }
     const hasCapacity = this.relay.data(chunk, () => this.exchange?.resume());
-    const {eventFault} = this.relay;
-    if (eventFault !== undefined) this.abortAttempt(eventFault);
+    this.checkEvents();
     return hasCapacity;
   }
 
+  private checkEvents(): void {
+    const {eventFault} = this.relay;
+    if (eventFault !== undefined && !this.finished) this.abortAttempt(eventFault);
+  }
+
   /** Sends events to the caller that waited until the version of the stream was recorded. */
   private releaseHeldEvents(): void {
     const chunks = this.heldEvents.splice(0);
@@ -330,7 +332,7 @@
   }
 
   /** Ends an unfinished request with a response while there still is time to send one. */
-  private giveUp(reason: string, retryAfterMs: number): void {
+  giveUp(reason: string, retryAfterMs: number): void {
     if (this.finished) return;
     const sent = this.exchange !== undefined;
     this.leaveQueues();
@@ -389,6 +391,7 @@
     this.finished = true;
     clearTimeout(this.timer);
     this.crashGate.dispose();
+    this.relay.dispose();
     this.ctx.metrics.endings.increment(outcome);
     this.log.ended(outcome, this.service, this.sendCount, this.attempt, logFields);
     this.ctx.onFinished(this);
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -78,7 +78,7 @@
 
   /** Answers all requests that are still running, before the process ends. */
   endRunning(): void {
-    for (const request of [...this.running]) request.endBeforeExit();
+    for (const request of [...this.running]) request.giveUp('leaving', LEAVING_RETRY_AFTER_MS);
   }
 
   onFinished(request: CallerRequest): void {
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -1,6 +1,6 @@
 /** Parts of the gateway that the handling of a caller's request depends on. */
 import type {IncomingMessage} from 'node:http';
-import type {Clock, Logger, UnreadHeaderCounter} from '@jasminepost/core';
+import type {BufferBudget, Clock, Logger, UnreadHeaderCounter} from '@jasminepost/core';
 import type {PriorWaitEstimator, StreamVersions, WindowedRetryBudget} from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
 import type {CallerRequest} from './caller_request.ts';
@@ -29,6 +29,8 @@
   readonly services: ServiceQueue;
   readonly limits: ReplicaRateLimits;
   readonly crashes: CrashDetector;
+  /** Memory for the incomplete events of all streams. */
+  readonly eventMemory: BufferBudget;
   readonly streamVersions: StreamVersions;
   readonly defaultVersions: DefaultVersions;
   readonly streamRecord: StreamRecord;
--- a/apps/gateway/src/lib/response_relay.ts
+++ b/apps/gateway/src/lib/response_relay.ts
@@ -1,6 +1,6 @@
 /** Forwards a replica's response to the caller; a truncated response is visible as truncated. */
 import type {ServerResponse} from 'node:http';
-import {resetConnection} from '@jasminepost/core';
+import {resetConnection, type BufferBudget} from '@jasminepost/core';
 import type {ReplicaResponseHead} from '@jasminepost/platform';
 import {SseEventBuffer} from './sse_event_buffer.ts';
 
@@ -16,11 +16,17 @@
   isCloseDelimited = false;
   private eventBuffer: SseEventBuffer | undefined;
 
-  /** @param resumable - True when the response may be continued by another attempt. */
+  /**
+   * @param resumable - True when the response may be continued by another attempt.
+   * @param eventMemory - Limits the incomplete events of all streams.
+   * @param onEvicted - Called when an incomplete event was dropped to keep to that limit.
+   */
   constructor(
     private readonly res: ServerResponse,
     private readonly method: string,
     private readonly resumable: boolean,
+    private readonly eventMemory: BufferBudget,
+    private readonly onEvicted: () => void,
   ) {}
 
   /** True when the response consists of events. */
@@ -60,7 +66,7 @@
     if (this.headSent) return;
     this.headSent = true;
     if (head.status === 200 && (this.resumable || head.isEventStream)) {
-      this.eventBuffer = new SseEventBuffer();
+      this.eventBuffer = new SseEventBuffer(this.eventMemory, this.onEvicted);
     }
     // Whether the replica's body is complete can't be known. A final chunk would claim that it is,
     // so the response to the caller is delimited by the end of the connection, too.
@@ -93,6 +99,11 @@
     this.eventBuffer?.startAttempt();
   }
 
+  /** Frees the memory of an incomplete event. */
+  dispose(): void {
+    this.eventBuffer?.startAttempt();
+  }
+
   end(): void {
     this.res.end();
   }
--- a/apps/gateway/src/lib/sse_event_buffer.ts
+++ b/apps/gateway/src/lib/sse_event_buffer.ts
@@ -1,5 +1,5 @@
 /** Releases complete server-sent events only, so that another attempt can resume the stream. */
-import {GrowingBuffer} from '@jasminepost/core';
+import {GrowingBuffer, type BudgetedBuffer, type BufferBudget} from '@jasminepost/core';
 
 const EVENT_ENDS: readonly Buffer[] = [Buffer.from('\n\n'), Buffer.from('\r\n\r\n')];
 /** Longer events are taken to be endless: models send a few tokens per event. */
@@ -9,7 +9,7 @@
 const ID_LINE = /^id:\s?([^\r\n]*)/m;
 
 /** @internal */
-export class SseEventBuffer {
+export class SseEventBuffer implements BudgetedBuffer {
   /** Id of the last event that was released; empty before the first. */
   lastEventId = '';
   /** True once an event of the current attempt has been released. */
@@ -17,15 +17,32 @@
   /** True when the first event of the current attempt does not follow the last one released. */
   isOutOfOrder = false;
   private readonly partial = new GrowingBuffer();
+  private isEvicted = false;
+
+  /** @param onEvicted - Called when the incomplete event is dropped in favour of other streams. */
+  constructor(
+    private readonly budget: BufferBudget,
+    private readonly onEvicted: () => void,
+  ) {}
+
+  get bufferedBytes(): number {
+    return this.partial.capacity;
+  }
+
+  evict(): void {
+    this.partial.clear();
+    this.isEvicted = true;
+    this.onEvicted();
+  }
 
   /** True when the data so far ends in the middle of an event. */
   get hasPartial(): boolean {
     return this.partial.length > 0;
   }
 
-  /** True when the incomplete event exceeds the size limit. */
+  /** True when the incomplete event exceeds the size limit, or the memory left for all streams. */
   get isEventTooLong(): boolean {
-    return this.partial.length > MAX_EVENT_BYTES;
+    return this.isEvicted || this.partial.length > MAX_EVENT_BYTES;
   }
 
   /**
@@ -33,6 +50,12 @@
    * that a long event costs the same in chunks of any size.
    */
   push(chunk: Buffer): Buffer {
+    const events = this.takeEvents(chunk);
+    this.budget.update(this);
+    return events;
+  }
+
+  private takeEvents(chunk: Buffer): Buffer {
     const searchedBytes = Math.max(0, this.partial.length - END_OVERLAP_BYTES);
     this.partial.append(chunk);
     const end = lastEventEnd(this.partial.bytes.subarray(searchedBytes));
@@ -61,8 +84,10 @@
   /** Prepares for the events of another attempt; discards an incomplete event. */
   startAttempt(): void {
     this.partial.clear();
+    this.budget.update(this);
     this.hasEvents = false;
     this.isOutOfOrder = false;
+    this.isEvicted = false;
   }
 }
 
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -1,6 +1,7 @@
 /** Composition root of the gateway: creates its components and connects them. */
 import {
   AdminServer,
+  BufferBudget,
   createLogger,
   errorMessage,
   installStopSignals,
@@ -43,6 +44,8 @@
 
 /** Number of gateways assumed until the planner's gateway or the stewards have counted them. */
 const INITIAL_GATEWAY_COUNT = 4;
+/** Share of the process's memory that incomplete events may take. */
+const EVENT_MEMORY_SHARE = 0.1;
 
 /** Starts the gateway; resolves once it accepts connections. */
 export async function startGateway(settings: GatewaySettings): Promise<void> {
@@ -197,6 +200,7 @@
     services,
     limits,
     crashes,
+    eventMemory: new BufferBudget(instance.memoryBytes * EVENT_MEMORY_SHARE),
     streamVersions: new StreamVersions(),
     defaultVersions,
     streamRecord,
--- a/features/endless_responses.feature
+++ b/features/endless_responses.feature
@@ -55,3 +55,8 @@
 
   Scenario: an engine's events are the same whatever the pieces that they arrive in
     Then in 300 random series of pieces the events of a completion are the same
+
+  # Every stream could hold 1 MiB of an incomplete event, whatever the memory of the process.
+  Scenario: endless events of many streams take bounded memory, and sound streams beside them go on
+    Then in 20 random series of pieces the incomplete events of 300 streams take at most 35 MB
+    And no sound stream of these series has lost an event
--- a/features/steps/endless_response_steps.ts
+++ b/features/steps/endless_response_steps.ts
@@ -3,9 +3,10 @@
 import {readFileSync} from 'node:fs';
 import {Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
-import {sleep, UpstreamError} from '@jasminepost/core';
+import {BufferBudget, sleep, UpstreamError} from '@jasminepost/core';
 import {CompletionEventParser} from '@jasminepost/engine';
 import type {EndlessResponse} from '../../stand_ins/users_platform/endless_response.ts';
+import {SseEventBuffer} from '../../apps/gateway/src/lib/sse_event_buffer.ts';
 import {until} from '../support/fleet_process.ts';
 import {usersScenario, replicas} from '../support/users_scenario.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -174,3 +175,41 @@
     );
   },
 );
+
+const MB = 1_048_576;
+const LONG_PIECE = Buffer.alloc(32_768, 'x');
+const lostEvents = new WeakMap<FleetWorld, number>();
+
+Then(
+  'in {int} random series of pieces the incomplete events of {int} streams take at most {int} MB',
+  function (this: FleetWorld, numRuns: number, streams: number, maxMb: number) {
+    let lost = 0;
+    // Each step feeds a random stream; one in ten streams is sound and gets an event in two pieces.
+    const steps = fc.array(fc.nat(streams - 1), {minLength: 2000, maxLength: 3000});
+    fc.assert(
+      fc.property(steps, order => {
+        const budget = new BufferBudget(maxMb * MB);
+        const buffers = Array.from(
+          {length: streams},
+          () => new SseEventBuffer(budget, () => undefined),
+        );
+        for (const [step, stream] of order.entries()) {
+          if (stream % 10 > 0) buffers[stream].push(LONG_PIECE);
+          else {
+            const before = buffers[stream].push(Buffer.from(`id: ${step}\ndata: `));
+            const event = buffers[stream].push(Buffer.from('a\n\n'));
+            if (before.length > 0 || event.length === 0) lost += 1;
+          }
+          const held = buffers.reduce((sum, buffer) => sum + buffer.bufferedBytes, 0);
+          assert.ok(held <= maxMb * MB, `${held} bytes`);
+        }
+      }),
+      {numRuns, seed: 20261205},
+    );
+    lostEvents.set(this, lost);
+  },
+);
+
+Then('no sound stream of these series has lost an event', function (this: FleetWorld) {
+  assert.equal(lostEvents.get(this), 0);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export {BoundedLogStream, openStandardOutput} from './lib/bounded_log_stream.ts';
 export {assert, assertNever} from './lib/assert.ts';
+export {BufferBudget, type BudgetedBuffer} from './lib/buffer_budget.ts';
 export {SystemClock, type Clock} from './lib/clock.ts';
 export {parseDaemonSettings, DAEMON_SETTINGS, type DaemonSettings} from './lib/daemon_settings.ts';
 export {Disposer, type Disposable} from './lib/disposer.ts';
--- a/packages/core/src/lib/growing_buffer.ts
+++ b/packages/core/src/lib/growing_buffer.ts
@@ -20,6 +20,11 @@
     return this.used;
   }
 
+  /** Memory that it takes, in bytes. */
+  get capacity(): number {
+    return this.memory.length;
+  }
+
   /** The bytes so far; valid until the next call of `append` or `take`. */
   get bytes(): Buffer {
     return this.memory.subarray(0, this.used);
