--- a/features/steps/stream_version_steps.ts
+++ b/features/steps/stream_version_steps.ts
@@ -285,7 +285,9 @@
   const complete = answers.filter(
     ({body, cut}) => !cut && body.match(/^id: /gm)?.length === STREAM_EVENTS,
   );
-  assert.equal(complete.length, share === 'all' ? answers.length : 0);
+  const incomplete = answers.filter(answer => !complete.includes(answer));
+  const expected = share === 'all' ? answers.length : 0;
+  assert.equal(complete.length, expected, JSON.stringify(incomplete));
 });
 
 Then(
