--- a/packages/core/src/lib/buffer_budget.ts
+++ b/packages/core/src/lib/buffer_budget.ts
@@ -23,10 +23,6 @@
 
   constructor(private readonly maxBytes: number) {}
 
-  get usedBytes(): number {
-    return this.total;
-  }
-
   /** Records the current size of a buffer. */
   update(buffer: BudgetedBuffer): void {
     const {bufferedBytes} = buffer;
