Log which incarnation a request is sent to, and the age of the list

'request sent' named the replica's id only, which stays the same over a restart, so a stream that continued at another software version could not be told from one that stayed. It now has the version and start of the listed replica, and the time since the list was last known to be current. No behaviour changes; types and lint pass.

--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -41,6 +41,8 @@
   gateways(): number;
   /** Version of the active configuration; 0 before the first. */
   configVersion(): number;
+  /** Time since the list of replicas was last known to be current. */
+  listAgeMs(): number;
   /** True when the connection must end with the response: in a graceful shutdown. */
   endsConnection(req: IncomingMessage): boolean;
   /** True once only requests that have already been sent may finish before the exit. */
--- a/apps/gateway/src/lib/request_log.ts
+++ b/apps/gateway/src/lib/request_log.ts
@@ -20,7 +20,7 @@
 /** @internal */
 export class RequestLog {
   constructor(
-    private readonly ctx: Pick<GatewayContext, 'clock' | 'log' | 'configVersion'>,
+    private readonly ctx: Pick<GatewayContext, 'clock' | 'log' | 'configVersion' | 'listAgeMs'>,
     private readonly head: CallerHeaders,
     private readonly route: Route,
     private readonly arrivedMs: number,
@@ -33,6 +33,9 @@
       requestId: this.head.requestId,
       route: this.route.name,
       replica: replica.id,
+      version: replica.entry.softwareVersion,
+      bornMs: replica.entry.bornMs,
+      listAgeMs: Math.round(this.ctx.listAgeMs()),
       send: sendCount,
       waitedMs: Math.round(sentMs - this.arrivedMs),
       leftMs: Math.round(deadlineMs - sentMs),
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -209,6 +209,7 @@
     retryBudget: service => budgets.forService(service),
     gateways,
     configVersion: () => activeConfig.version,
+    listAgeMs: () => fleetWatcher.contactAgeMs,
     endsConnection: req => shutdown.draining && !server.isFollowed(req),
     isClosing: () => shutdown.closing,
     isStarting: () => fleetWatcher.isFirstCall && !shutdown.draining,
