--- a/features/steps/stream_version_steps.ts
+++ b/features/steps/stream_version_steps.ts
@@ -4,7 +4,8 @@
 import fc from 'fast-check';
 import {sleep} from '@jasminepost/core';
 import {until} from '../support/fleet_process.ts';
-import type {UsersFleet, UsersResponse} from '../support/users_fleet.ts';
+import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {MODEL, type UsersFleet, type UsersResponse} from '../support/users_fleet.ts';
 import {restoreStore} from '../support/store_snapshots.ts';
 import {playVersionHistory, versionHistories} from '../support/stream_version_history.ts';
 import {usersScenario} from '../support/users_scenario.ts';
@@ -18,6 +19,9 @@
 const STREAM_TIMEOUT_MS = 30_000;
 /** By then the first event of every stream has arrived. */
 const STREAM_START_MS = 900;
+/** Time for which an engine that restarts is away, and a gateway stands still. */
+const RESTART_MS = 50;
+const FREEZE_MS = 3000;
 /** Attempts of a caller to resume its stream. */
 const RESUME_TRIES = 4;
 const NEW_STREAM_TRIES = 3;
@@ -120,6 +124,16 @@
   return who === 'the first gateway is' ? [0] : [all.length - 1];
 }
 
+/** Restarts engines at their addresses and under their ids, as other software with the model. */
+async function replaceInPlace(engines: readonly UsersReplica[], version: string): Promise<void> {
+  const restarts = engines.map(async engine => {
+    engine.version = version;
+    await engine.restartAfter(RESTART_MS, engine.id);
+    engine.models.set(MODEL, new Set());
+  });
+  await Promise.all(restarts);
+}
+
 async function addEngines(fleet: UsersFleet, count: number, version: string): Promise<void> {
   for (let i = 0; i < count; i++) {
     const engine = await fleet.addReplica('models', true);
@@ -174,6 +188,36 @@
   },
 );
 
+When(
+  /^(\d+) engines restart with version (v\d) while the first gateway stands still$/,
+  {timeout: 20_000},
+  async function (this: FleetWorld, count: number, version: string) {
+    const {fleet} = usersScenario(this);
+    const engines = fleet.engines.slice(0, count);
+    fleet.gateways[0].process.signal('SIGSTOP');
+    await replaceInPlace(engines, version);
+    for (const engine of engines) fleet.register(engine);
+    await sleep(FREEZE_MS);
+    fleet.gateways[0].process.signal('SIGCONT');
+  },
+);
+
+When(
+  /^(\d+) engines restart with version (v\d) before the list and their stewards say so$/,
+  {timeout: 20_000},
+  async function (this: FleetWorld, count: number, version: string) {
+    const {fleet} = usersScenario(this);
+    for (const steward of fleet.stewards) steward.signal('SIGSTOP');
+    await replaceInPlace(fleet.engines.slice(0, count), version);
+  },
+);
+
+When('the list names the engines that run', async function (this: FleetWorld) {
+  const {fleet} = usersScenario(this);
+  for (const engine of fleet.engines) fleet.register(engine);
+  await sleep(SETTLE_MS);
+});
+
 When(
   /^(\d+) engines of version (.+) are added$/,
   async function (this: FleetWorld, count: number, version: string) {
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -114,6 +114,34 @@
       | no stream                    |               | refused |
       | a stream that has no record  | an-unknown-id | served  |
 
+  # Streams went on at engines that had restarted as another version under their ids.
+  Scenario Outline: streams stay at their version when <replaced> of 4 engines restart as another one <when>
+    Given a users' fleet of 0 service replicas, 4 engines and 2 gateway
+    When 24 long drafts run at the first gateway
+    And <replaced> engines restart with version v2 <when>
+    And the list names the engines that run
+    And their callers resume them at the second gateway
+    Then no stream has events of two versions
+    And <complete> of the streams are complete
+
+    Examples:
+      | replaced | when                                      | complete |
+      | 4        | while the first gateway stands still      | none     |
+      | 2        | while the first gateway stands still      | all      |
+      | 4        | before the list and their stewards say so | none     |
+      | 2        | before the list and their stewards say so | all      |
+
+  # Streams that began at such an engine were taken for streams of the version that was listed.
+  Scenario: streams that begin at an engine whose new version isn't listed yet stay at their version
+    Given a users' fleet of 0 service replicas, 4 engines and 2 gateway
+    When 1 long drafts run at the first gateway
+    And 3 engines restart with version v2 before the list and their stewards say so
+    And 12 long drafts run at the first gateway
+    And the list names the engines that run
+    And the first gateway is killed and started again
+    And their callers resume them at the second gateway
+    Then no stream has events of two versions
+
   # Gateways told apart by what they remembered, and by what was listed.
   Scenario: no stream of a random series of starts, releases and kills continues at another version
     Then in 1000 random series every resumed stream continues at its version
