Bind connections to model replicas to one incarnation

Callers saw streams that were answered 200 and whole, joined from two software versions: a stream was cut because its replica restarted as another version, and the gateway resumed it a millisecond later at the same id and address.

Cause: a request names the replica's id, which stays the same over a restart, and the gateway compares the version with an entry that can be older than the process at that address: after a freeze, or for as long as the list and the steward are late. Streams that begin there were taken for streams of the listed version.

A new connection to a replica with an engine now begins with its report, and is used only if the start in it is the listed one. A connection can't outlive the process at its end, so this holds for each request on it without a gap between check and use. Another start ends the incarnation on this gateway before the list does.

--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -167,7 +167,10 @@
     }
     if (known !== undefined) this.removeReplica(known, 'restarted');
     const maxConnections = this.services.get(entry.service)?.maxConnections ?? 64;
-    const client = new ReplicaClient(entry.address, maxConnections);
+    const client = new ReplicaClient(entry.address, maxConnections, {
+      bornMs: () => this.reportedStartOf(entry),
+      onOther: bornMs => this.onOtherIncarnation(replica, bornMs),
+    });
     const replica = new Replica(entry, client, () => (this.usableByModel = undefined));
     this.gone.delete(incarnationId(entry));
     if (this.leftIncarnations.has(incarnationId(entry))) {
@@ -188,6 +191,25 @@
     return true;
   }
 
+  /** Start that the replica states in its report; undefined when it has no report, or no start. */
+  private reportedStartOf({service, bornMs}: ReplicaRegistration): number | undefined {
+    const hasReport = this.services.get(service)?.engine !== undefined;
+    return hasReport && bornMs > 0 ? bornMs : undefined;
+  }
+
+  /** A connection may show the end of an incarnation before the list does. */
+  private onOtherIncarnation(replica: Replica, bornMs: number): void {
+    const {id, entry} = replica;
+    this.log.info('connection to another incarnation of a replica', {
+      replica: id,
+      bornMs,
+      listedMs: entry.bornMs,
+    });
+    if (bornMs < entry.bornMs || replica.addressReassigned) return;
+    replica.addressReassigned = true;
+    this.events.onChanged();
+  }
+
   /** Of two entries with the same address, the replica started last is the one at that address. */
   private resolveAddressConflict(replica: Replica): void {
     for (const other of this.replicas.values()) {
--- a/packages/core/src/lib/reset_detector.ts
+++ b/packages/core/src/lib/reset_detector.ts
@@ -29,7 +29,11 @@
     dispatch(options, new ResetHandler(handler, () => this.probe));
 
   connector(options: buildConnector.BuildOptions): buildConnector.connector {
-    const connect = buildConnector(options);
+    return this.watchedConnector(buildConnector(options));
+  }
+
+  /** Like `connector`, for connections that are opened in another way. */
+  watchedConnector(connect: buildConnector.connector): buildConnector.connector {
     return (target, callback) => {
       connect(target, (...result: Parameters<buildConnector.Callback>) => {
         const socket: unknown = result[1];
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -318,6 +318,13 @@
     replace: 'if (this.finished) {',
     features: ['features/stream_versions.feature', '--name', 'recorded while the store is away'],
   },
+  {
+    name: 'a connection is used whatever incarnation is at its end',
+    file: 'platform/src/lib/identified_connector.ts',
+    find: 'if (found.bornMs !== bornMs) {',
+    replace: 'if (found.bornMs === 0) {',
+    features: ['features/stream_versions.feature', '--name', 'restart as another one'],
+  },
   {
     name: 'a request is sent although its body came late in the grace period',
     file: 'apps/gateway/src/lib/service_queue.ts',
