Begin no stream unrecorded on a default version that may be out of date

A gateway that callers and replicas reach, but that is cut off from the store and its peers for longer than the lease of the previous default, went on beginning streams without a record at that default. Resumed at another gateway, they counted as streams of the new one and would have continued there.

Cause: the decision did not ask how old the known default is. It does now: above 60 s a stream needs a record, which the store accepts or not, and the previous default stays for those 60 s and the 60 s that a stream may live, instead of 75 s in all.

No run of real processes was made, for a release and a cut of over a minute.

--- a/apps/gateway/src/lib/default_versions.ts
+++ b/apps/gateway/src/lib/default_versions.ts
@@ -5,14 +5,17 @@
 import {errorMessage, RepeatingTask, type Clock, type Logger} from '@jasminepost/core';
 import type {KeyValueStore} from '@jasminepost/key_value';
 import type {StoreChange, StoreChanges} from '@jasminepost/platform';
-import {nextDefaultVersion, type DefaultVersion} from '@jasminepost/policy';
+import {
+  MAX_DEFAULT_AGE_MS,
+  nextDefaultVersion,
+  STREAM_LIFE_MS,
+  type DefaultVersion,
+} from '@jasminepost/policy';
 
 const KEY_PREFIX = 'system/stream_versions/';
 const CHECK_INTERVAL_MS = 250;
-/** Maximum time from the beginning of a stream until its caller resumes it for the last time. */
-const STREAM_LIFE_MS = 60_000;
-/** Lease of the previous default: the life of a stream, and time until all notice the change. */
-const PREVIOUS_LEASE_MS = STREAM_LIFE_MS + 15_000;
+/** Lease of the previous default: the life of a stream that began before its gateway had to notice. */
+const PREVIOUS_LEASE_MS = STREAM_LIFE_MS + MAX_DEFAULT_AGE_MS;
 
 type Part = 'current' | 'previous';
 
@@ -102,7 +105,7 @@
       return;
     }
     if (!state.isPreviousStored || state.previous !== stored.version)
-      state.previousUntilMs = this.ctx.clock.monotonicMs() + STREAM_LIFE_MS;
+      state.previousUntilMs = this.ctx.clock.monotonicMs() + PREVIOUS_LEASE_MS;
     Object.assign(state, {previous: stored.version, isPreviousStored: true});
   }
 
--- a/apps/gateway/src/lib/stream_version_gate.ts
+++ b/apps/gateway/src/lib/stream_version_gate.ts
@@ -31,7 +31,13 @@
   constructor(
     private readonly ctx: Pick<
       GatewayContext,
-      'defaultVersions' | 'log' | 'metrics' | 'streamRecord' | 'streamVersions' | 'table'
+      | 'defaultVersions'
+      | 'listAgeMs'
+      | 'log'
+      | 'metrics'
+      | 'streamRecord'
+      | 'streamVersions'
+      | 'table'
     >,
     private readonly head: CallerHeaders,
     private readonly route: Route,
@@ -76,7 +82,7 @@
       return this.isServed(this.requiredVersion) ? undefined : 'stream_version_gone';
     if (!this.route.resumable || this.ctx.streamRecord.isAvailable) return undefined;
     const found = this.ctx.defaultVersions.of(this.service);
-    if (found === undefined || !mayBeginUnrecorded(found, found.current))
+    if (found === undefined || !this.mayBeginUnrecorded(found.current))
       return 'stream_version_unrecordable';
     if (!this.isServed(found.current)) return 'stream_version_unrecordable';
     this.requiredVersion = found.current;
@@ -91,10 +97,7 @@
     const hasBegun = this.isResumed || this.ctx.streamVersions.versionOf(requestId) !== undefined;
     // A stream without an id can't be resumed by its caller.
     if (!this.route.resumable || hasBegun || requestId === '') return;
-    const isDefault = mayBeginUnrecorded(
-      this.ctx.defaultVersions.of(this.service),
-      softwareVersion,
-    );
+    const isDefault = this.mayBeginUnrecorded(softwareVersion);
     if (this.recordedVersion === undefined && isDefault) return;
     this.recordedVersion = softwareVersion;
     this.isRecording = true;
@@ -138,6 +141,11 @@
     }
   }
 
+  private mayBeginUnrecorded(version: string): boolean {
+    const found = this.ctx.defaultVersions.of(this.service);
+    return mayBeginUnrecorded(found, version, this.ctx.listAgeMs());
+  }
+
   private isServed(version: string): boolean {
     const usable = this.ctx.table.usableOf(this.service);
     return usable.some(replica => replica.mayServeVersion(version));
--- a/features/support/stream_version_history.ts
+++ b/features/support/stream_version_history.ts
@@ -2,18 +2,19 @@
 import fc from 'fast-check';
 import {
   decideStreamVersion,
+  MAX_DEFAULT_AGE_MS,
   mayBeginUnrecorded,
   nextDefaultVersion,
+  STREAM_LIFE_MS,
   type DefaultVersion,
 } from '@jasminepost/policy';
 
 const GATEWAYS = 3;
 const VERSIONS = ['v1', 'v2', 'v3'];
-/** Longest time from the beginning of a stream until it is resumed. */
-const STREAM_LIFE_MS = 60_000;
-const PREVIOUS_LEASE_MS = 75_000;
-/** Longest time until a gateway notices a change of the default. */
+const PREVIOUS_LEASE_MS = STREAM_LIFE_MS + MAX_DEFAULT_AGE_MS;
+/** Longest times for which a gateway may not have noticed a change: in touch, and cut off. */
 const MAX_LAG_MS = 10_000;
+const MAX_CUT_MS = 300_000;
 
 type VersionEvent = Readonly<
   | {kind: 'start'; gateway: number; version: number; lagMs: number}
@@ -27,7 +28,7 @@
     kind: fc.constant('start' as const),
     gateway: fc.nat(GATEWAYS - 1),
     version: fc.nat(VERSIONS.length - 1),
-    lagMs: fc.nat(MAX_LAG_MS),
+    lagMs: fc.oneof(fc.nat(MAX_LAG_MS), fc.nat(MAX_CUT_MS)),
   }),
   fc.record({
     kind: fc.constant('plan' as const),
@@ -87,7 +88,7 @@
         const version = VERSIONS[event.version];
         const id = `stream-${streams.length}`;
         const found = storedAt(nowMs - event.lagMs);
-        if (!mayBeginUnrecorded(found, version)) records.set(id, version);
+        if (!mayBeginUnrecorded(found, version, event.lagMs)) records.set(id, version);
         memories[event.gateway].set(id, version);
         streams.push({id, version, atMs: nowMs, hadDefault: found !== undefined});
         break;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -97,6 +97,7 @@
 } from './lib/replica_rate_limit.ts';
 export {
   decideStreamVersion,
+  MAX_DEFAULT_AGE_MS,
   mayBeginUnrecorded,
   nextDefaultVersion,
   StreamVersions,
@@ -104,4 +105,5 @@
   type DefaultVersion,
   type StreamBeginning,
   type StreamVersionDecision,
+  STREAM_LIFE_MS,
 } from './lib/stream_versions.ts';
--- a/packages/policy/src/lib/stream_versions.ts
+++ b/packages/policy/src/lib/stream_versions.ts
@@ -39,6 +39,15 @@
   /** The stream must not continue: its events might come from two versions. */
   | {readonly kind: 'unknown'};
 
+/** Maximum time from the beginning of a stream until its caller resumes it for the last time. @public */
+export const STREAM_LIFE_MS = 60_000;
+/**
+ * Age up to which a default version that a gateway knows is taken for the one in force. The previous
+ * default stays beside a new one for this long and the life of a stream.
+ *
+ * @public
+ */
+export const MAX_DEFAULT_AGE_MS = 60_000;
 /** Streams whose version is remembered; the one that began first is dropped first. */
 const MAX_STREAMS = 20_000;
 /** Replicas of another version, per replica of the default, from which on it becomes the default. */
@@ -74,14 +83,20 @@
 
 /**
  * True when a stream may begin at the version without a record: whoever resumes it computes the
- * same version, whether or not that gateway has noticed the latest change of the default.
+ * same version, whether or not this or that gateway has noticed the latest change of the default.
  *
+ * @param ageMs - Time since the default was last known to be the one in force.
  * @example
- * mayBeginUnrecorded({current: 'v2', previous: 'v1'}, 'v2'); // false
+ * mayBeginUnrecorded({current: 'v2', previous: 'v1'}, 'v2', 0); // false
  * @public
  */
-export function mayBeginUnrecorded(found: DefaultVersion | undefined, version: string): boolean {
-  return found !== undefined && found.current === version && unrecordedVersion(found) === version;
+export function mayBeginUnrecorded(
+  found: DefaultVersion | undefined,
+  version: string,
+  ageMs: number,
+): boolean {
+  if (found === undefined || ageMs > MAX_DEFAULT_AGE_MS) return false;
+  return found.current === version && unrecordedVersion(found) === version;
 }
 
 /**
