End the previous default version when its lease ends

Callers would have got streams joined from two versions, or refusals while the version of their stream served: a gateway that learnt late of a change of the default, because it started or was cut off, kept the previous default for a full lease from then on, while others already began streams at the new one without a record.

Cause: a timer that was meant for restores of the store, which may lose the key, ran from each receipt. It runs now only from a restore; a removal in the same era ends the previous default at once. Its lease also covers 15 s in which the new default is written.

Evidence: the drawn series now plays each gateway's own DefaultVersions, and the new scenario of a late gateway fails without the fix (one stream continues at another version) and passes with it.

--- a/apps/gateway/src/lib/default_versions.ts
+++ b/apps/gateway/src/lib/default_versions.ts
@@ -14,8 +14,10 @@
 
 const KEY_PREFIX = 'system/stream_versions/';
 const CHECK_INTERVAL_MS = 250;
+/** Maximum time from the start of the previous default's lease until the new default is stored. */
+const MAX_CHANGE_MS = 15_000;
 /** Lease of the previous default: the life of a stream that began before its gateway had to notice. */
-const PREVIOUS_LEASE_MS = STREAM_LIFE_MS + MAX_DEFAULT_AGE_MS;
+const PREVIOUS_LEASE_MS = MAX_CHANGE_MS + MAX_DEFAULT_AGE_MS + STREAM_LIFE_MS;
 
 type Part = 'current' | 'previous';
 
@@ -39,8 +41,8 @@
   previous: string | undefined;
   /** False once the store holds no previous default any more. */
   isPreviousStored: boolean;
-  /** Until when it applies even if the store has lost it in a restore. */
-  previousUntilMs: number;
+  /** Until when it applies although a restore of the store may have lost it. */
+  keptUntilMs: number;
   /** What the store holds: the changes that it knows of, and the revision of each key. */
   storedChanges: number;
   readonly revisions: Map<Part, number>;
@@ -66,7 +68,7 @@
     const state = this.states.get(service);
     if (state?.current === undefined) return undefined;
     const isPreviousInForce =
-      state.isPreviousStored || this.ctx.clock.monotonicMs() < state.previousUntilMs;
+      state.isPreviousStored || this.ctx.clock.monotonicMs() < state.keptUntilMs;
     return {current: state.current, previous: isPreviousInForce ? state.previous : undefined};
   }
 
@@ -104,11 +106,16 @@
       Object.assign(state, {current: stored.version, changes: stored.changes});
       return;
     }
-    if (!state.isPreviousStored || state.previous !== stored.version)
-      state.previousUntilMs = this.ctx.clock.monotonicMs() + PREVIOUS_LEASE_MS;
     Object.assign(state, {previous: stored.version, isPreviousStored: true});
   }
 
+  /** Keeps previous defaults whose keys may be lost, since the store was restored from a copy. */
+  onStoreRestored(): void {
+    const untilMs = this.ctx.clock.monotonicMs() + PREVIOUS_LEASE_MS;
+    for (const state of this.states.values())
+      if (state.isPreviousStored) state.keptUntilMs = untilMs;
+  }
+
   private async step(): Promise<number> {
     if (!this.ctx.isPlanner()) return CHECK_INTERVAL_MS;
     for (const service of this.ctx.resumableServices()) {
@@ -180,7 +187,7 @@
         changes: 0,
         previous: undefined,
         isPreviousStored: false,
-        previousUntilMs: Number.NEGATIVE_INFINITY,
+        keptUntilMs: Number.NEGATIVE_INFINITY,
         storedChanges: 0,
         revisions: new Map(),
       };
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -68,6 +68,7 @@
     fleetWatcher.onStoreRestored();
     planner.onStoreRestored();
     crashNewsSync.onStoreRestored();
+    defaultVersions.onStoreRestored();
     streamRecord.onStoreRestored();
   });
   const authenticator = new HandshakeAuthenticator(settings.meshKey);
--- a/features/steps/stream_version_steps.ts
+++ b/features/steps/stream_version_steps.ts
@@ -7,7 +7,11 @@
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
 import {MODEL, type UsersFleet, type UsersResponse} from '../support/users_fleet.ts';
 import {restoreStore} from '../support/store_snapshots.ts';
-import {playVersionHistory, versionHistories} from '../support/stream_version_history.ts';
+import {
+  LATE_GATEWAY_HISTORY,
+  playVersionHistory,
+  versionHistories,
+} from '../support/stream_version_history.ts';
 import {usersScenario} from '../support/users_scenario.ts';
 import type {FleetWorld} from '../support/world.ts';
 
@@ -349,3 +353,7 @@
     assert.ok(resumed > numRuns, `${resumed} streams were resumed`);
   },
 );
+
+Then('every stream of a gateway that started late continues at its version', function () {
+  assert.deepEqual(playVersionHistory(LATE_GATEWAY_HISTORY), {same: 2, other: 0, refused: 0});
+});
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -145,3 +145,7 @@
   # Gateways told apart by what they remembered, and by what was listed.
   Scenario: no stream of a random series of starts, releases and kills continues at another version
     Then in 1000 random series every resumed stream continues at its version
+
+  # Such a gateway kept the previous default for as long again, and resumed streams of the new one at it.
+  Scenario: a gateway that learns late of a change forgets the previous default when its lease ends
+    Then every stream of a gateway that started late continues at its version
--- a/features/support/stream_version_history.ts
+++ b/features/support/stream_version_history.ts
@@ -1,8 +1,8 @@
 /** Simulates streams that begin, releases, kills of gateways, and callers that resume anywhere. */
 import fc from 'fast-check';
+import {DefaultVersions} from '../../apps/gateway/src/lib/default_versions.ts';
 import {
   decideStreamVersion,
-  MAX_DEFAULT_AGE_MS,
   mayBeginUnrecorded,
   nextDefaultVersion,
   STREAM_LIFE_MS,
@@ -11,7 +11,8 @@
 
 const GATEWAYS = 3;
 const VERSIONS = ['v1', 'v2', 'v3'];
-const PREVIOUS_LEASE_MS = STREAM_LIFE_MS + MAX_DEFAULT_AGE_MS;
+/** Lease of the previous default, of which a change of the default may take the first part. */
+const PREVIOUS_LEASE_MS = 120_000;
 /** Longest times for which a gateway may not have noticed a change: in touch, and cut off. */
 const MAX_LAG_MS = 10_000;
 const MAX_CUT_MS = 300_000;
@@ -45,8 +46,19 @@
   }),
 );
 
+/** A gateway starts long after a change of the default, and outlives the previous default's lease. */
+export const LATE_GATEWAY_HISTORY: ReadonlyArray<{afterMs: number; event: VersionEvent}> = [
+  {afterMs: 0, event: {kind: 'plan', replicas: [1, 0, 0]}},
+  {afterMs: 1000, event: {kind: 'plan', replicas: [1, 3, 0]}},
+  {afterMs: 40_000, event: {kind: 'start', gateway: 0, version: 1, lagMs: 0}},
+  {afterMs: 30_000, event: {kind: 'kill', gateways: [1]}},
+  {afterMs: 0, event: {kind: 'resume', stream: 0, gateway: 1}},
+  {afterMs: PREVIOUS_LEASE_MS - 30_000, event: {kind: 'start', gateway: 0, version: 1, lagMs: 0}},
+  {afterMs: 0, event: {kind: 'resume', stream: 0, gateway: 1}},
+];
+
 export const versionHistories = fc.array(
-  fc.record({afterMs: fc.oneof(fc.nat(500), fc.nat(5000), fc.nat(20_000)), event: versionEvent}),
+  fc.record({afterMs: fc.oneof(fc.nat(500), fc.nat(5000), fc.nat(60_000)), event: versionEvent}),
   {minLength: 20, maxLength: 120},
 );
 
@@ -65,6 +77,30 @@
   readonly hadDefault: boolean;
 }
 
+/** What one gateway knows of the default version. */
+interface GatewayKnowledge {
+  readonly defaults: DefaultVersions;
+  /** Time of the newest state of the store that it has read. */
+  asOfMs: number;
+}
+
+const KEY_PREFIX = 'system/stream_versions/models/';
+const SERVICE = 'models';
+
+/** A gateway that has just started, with the clock of the series. */
+function startGateway(monotonicMs: () => number): GatewayKnowledge {
+  const ignore = () => undefined;
+  const defaults = new DefaultVersions({
+    store: {createLease: async () => '', write: async () => ({kind: 'ok', version: 0}) as never},
+    clock: {monotonicMs, wallMs: monotonicMs},
+    log: {info: ignore, warn: ignore, error: ignore} as never,
+    isPlanner: () => false,
+    resumableServices: () => [],
+    versionsOf: () => new Map(),
+  });
+  return {defaults, asOfMs: Number.NEGATIVE_INFINITY};
+}
+
 export function playVersionHistory(
   events: ReadonlyArray<{readonly afterMs: number; readonly event: VersionEvent}>,
 ): ResumeCounts {
@@ -81,13 +117,35 @@
     return {current, previous: atMs < last.atMs + PREVIOUS_LEASE_MS ? previous : undefined};
   };
   let nowMs = 0;
+  const gateways = Array.from({length: GATEWAYS}, () => startGateway(() => nowMs));
+  /** A gateway's default version once it has read the store as of a time. */
+  const knownAt = (gateway: number, atMs: number): DefaultVersion | undefined => {
+    const known = gateways[gateway];
+    if (atMs >= known.asOfMs) {
+      known.asOfMs = atMs;
+      const found = storedAt(atMs);
+      const revision = changes.findLastIndex(change => change.atMs <= atMs) + 1;
+      const parts = Object.entries({current: found?.current, previous: found?.previous});
+      known.defaults.applyRange(SERVICE, {
+        era: 0,
+        revision,
+        changes: parts
+          .filter(([, version]) => version !== undefined)
+          .map(([part, version]) => {
+            const value = JSON.stringify({version, changes: revision});
+            return {key: KEY_PREFIX + part, revision, value};
+          }),
+      });
+    }
+    return known.defaults.of(SERVICE);
+  };
   for (const {afterMs, event} of events) {
     nowMs += afterMs;
     switch (event.kind) {
       case 'start': {
         const version = VERSIONS[event.version];
         const id = `stream-${streams.length}`;
-        const found = storedAt(nowMs - event.lagMs);
+        const found = knownAt(event.gateway, nowMs - event.lagMs);
         if (!mayBeginUnrecorded(found, version, event.lagMs)) records.set(id, version);
         memories[event.gateway].set(id, version);
         streams.push({id, version, atMs: nowMs, hadDefault: found !== undefined});
@@ -102,14 +160,17 @@
         break;
       }
       case 'kill':
-        for (const gateway of event.gateways) memories[gateway].clear();
+        for (const gateway of event.gateways) {
+          memories[gateway].clear();
+          gateways[gateway] = startGateway(() => nowMs);
+        }
         break;
       case 'resume': {
         const stream = streams.at(-1 - event.stream);
         if (stream === undefined || nowMs - stream.atMs > STREAM_LIFE_MS) break;
         const decision = decideStreamVersion({
           recorded: records.get(stream.id),
-          defaultVersion: storedAt(nowMs),
+          defaultVersion: knownAt(event.gateway, nowMs),
           areRecordsComplete: true,
         });
         const version =
