--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -66,6 +66,10 @@
   /** How every response, or every report, continues without end; undefined for normal ones. */
   endlessResponse: EndlessResponse | undefined;
   endlessReport: EndlessResponse | undefined;
+  /** Bytes behind every report, in the same segment. */
+  bytesAfterReport = '';
+  /** Connections that have been opened to it. */
+  connections = 0;
   onEndlessResponse: () => void = () => undefined;
   endlessOptions = DEFAULT_ENDLESS_OPTIONS;
   /** Open connections with an endless response. */
@@ -99,6 +103,7 @@
       this.handle(req, res).catch(() => res.destroy());
     });
     this.server.keepAliveTimeout = 30_000;
+    this.server.on('connection', () => (this.connections += 1));
   }
 
   /** Stays the same after the server has closed. */
@@ -207,7 +212,7 @@
       writeEndless(req.socket, this.endlessReport, 'HTTP/1.1 200 OK\r\n', REPORT_BYTES_PER_MS);
       return;
     }
-    if (req.url === '/-/report') return this.sendReport(res);
+    if (req.url === '/-/report') return this.sendReport(req, res);
     if (req.url === '/-/order') return this.handleOrder(JSON.parse(body) as Order, req, res);
     this.arrivalsMs.push(performance.now());
     if (this.tryRefuse(req, res)) return;
@@ -335,7 +340,12 @@
     }
   }
 
-  private sendReport(res: ServerResponse): void {
+  private sendReport({socket}: IncomingMessage, res: ServerResponse): void {
+    socket.cork();
+    res.on('finish', () => {
+      if (this.bytesAfterReport !== '') socket.write(this.bytesAfterReport);
+      socket.uncork();
+    });
     sendJson(res, 200, {
       stage: 'unified',
       born: this.born,
