Accept responses with interim heads

Callers got a 502 (upstream_cut) for a request that had run and whose response had a 1xx head, such as 103, before the final one.

Cause: undici reports interim heads like final ones, and the decorator in the reset detector throws on a second head. Interim heads now end at the detector; neither the gateway nor a service call has a use for them.

Evidence: the uncut responses of the two new rows failed with 502 before, and pass now, cut at every byte too.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -21,6 +21,8 @@
       | GET    | an identity coding          |
       | GET    | a gzip coding               |
       | GET    | an empty coding             |
+      | GET    | one interim head            |
+      | GET    | two interim heads           |
       | GET    | connection options          |
       | GET    | an empty body               |
       | GET    | status 204                  |
--- a/packages/core/src/lib/reset_detector.ts
+++ b/packages/core/src/lib/reset_detector.ts
@@ -3,6 +3,9 @@
 import {Socket} from 'node:net';
 import {buildConnector, DecoratorHandler, type Dispatcher} from 'undici';
 
+/** Lower statuses are those of interim responses, which precede the final one. */
+const FIRST_FINAL_STATUS = 200;
+
 /** Resolves to the error that ended the connection; undefined when it was closed in order. */
 type Probe = Promise<Error | undefined>;
 
@@ -88,6 +91,8 @@
     headers: IncomingHttpHeaders,
     statusMessage?: string,
   ): void {
+    // The decorator accepts one head only, and no caller needs interim ones.
+    if (status < FIRST_FINAL_STATUS) return;
     this.inner.onResponseStart?.(controller, status, headers, statusMessage);
   }
 
