Accept a 304 that states a length

Callers of a conditional request got a closed connection or a 502 when the replica's 304 stated the length of the body that it doesn't send, as RFC 9110, section 8.6, allows.

Cause: undici expects that body and ends the response with a length mismatch after its head. The detector, through which the responses of replicas and services pass, now ends a 304 there in order.

Evidence: the uncut response of the new row was cut (status 0) before, and passes now, cut at every byte too.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -27,6 +27,7 @@
       | GET    | an empty body               |
       | GET    | status 204                  |
       | GET    | status 304                  |
+      | GET    | status 304 with a length    |
       | HEAD   | a length                    |
       | HEAD   | chunks                      |
       | HEAD   | an empty body               |
--- a/packages/core/src/lib/reset_detector.ts
+++ b/packages/core/src/lib/reset_detector.ts
@@ -6,6 +6,9 @@
 /** Lower statuses are those of interim responses, which precede the final one. */
 const FIRST_FINAL_STATUS = 200;
 
+const NOT_MODIFIED_STATUS = 304;
+const LENGTH_MISMATCH_CODE = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
+
 /** Resolves to the error that ended the connection; undefined when it was closed in order. */
 type Probe = Promise<Error | undefined>;
 
@@ -72,6 +75,7 @@
 /** Delays the end of a response until the probe of its connection has resolved. */
 class ResetHandler implements Dispatcher.DispatchHandler {
   private readonly inner: Dispatcher.DispatchHandler;
+  private status = 0;
 
   constructor(
     handler: Dispatcher.DispatchHandler,
@@ -93,6 +97,7 @@
   ): void {
     // The decorator accepts one head only, and no caller needs interim ones.
     if (status < FIRST_FINAL_STATUS) return;
+    this.status = status;
     this.inner.onResponseStart?.(controller, status, headers, statusMessage);
   }
 
@@ -113,6 +118,9 @@
   }
 
   onResponseError(controller: Dispatcher.DispatchController, error: Error): void {
-    this.inner.onResponseError?.(controller, error);
+    // The length in a 304 is that of the body which it doesn't send; undici expects that body.
+    const isMismatch = (error as {code?: unknown}).code === LENGTH_MISMATCH_CODE;
+    if (isMismatch && this.status === NOT_MODIFIED_STATUS) this.onResponseEnd(controller, {});
+    else this.inner.onResponseError?.(controller, error);
   }
 }
