Don't mark the end of a service's response whose end is unknown

Callers of an entry saw a 200 with a short or empty body, framed as whole, after a service closed in the middle of a response that ends with its connection (no length, HTTP/1.0, or a last coding other than chunked).

Cause: the entry closed each completed response with a final chunk, which claims that the body is complete; a FIN doesn't show that. Such a response now ends with the caller's connection, too, as at the gateway, and one that fails is reset, since an orderly close would look whole.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -31,3 +31,20 @@
       | HEAD   | a length                    |
       | HEAD   | chunks                      |
       | HEAD   | an empty body               |
+
+  # The entry closed a response that had ended with its connection with a final chunk.
+  Scenario Outline: a service's response with <form> that is cut at any byte does not look complete
+    Given a fleet of 0 engines, 1 services and 1 entries
+    When callers of an entry send a GET for each byte at which a service cuts a response with <form>
+    Then no cut response looks complete
+    And the uncut responses are complete
+
+    Examples:
+      | form                        |
+      | a length                    |
+      | trailers and close          |
+      | the connection              |
+      | HTTP/1.0 and the connection |
+      | a gzip coding               |
+      | two interim heads           |
+      | status 304 with a length    |
--- a/packages/caller/src/lib/service_sink.ts
+++ b/packages/caller/src/lib/service_sink.ts
@@ -1,5 +1,6 @@
 /** Writes the response of a plain service to its caller, with the body unchanged. */
 import type {ServerResponse} from 'node:http';
+import {resetConnection} from '@jasminepost/core';
 import type {ResponseSink} from './response_sink.ts';
 import type {ErrorResponse} from './error_response.ts';
 import {sendErrorResponse, onCallerDisconnect} from './response_writer.ts';
@@ -15,6 +16,8 @@
 
   head(status: number, headers: Readonly<Record<string, string>>, replayed: boolean): void {
     this.hasStarted = true;
+    // A final chunk would claim that the body is complete, which isn't known.
+    if (headers['connection'] === 'close') this.res.useChunkedEncodingByDefault = false;
     this.res.writeHead(status, {
       ...headers,
       'x-request-id': this.requestId,
@@ -41,8 +44,9 @@
       sendErrorResponse(this.res, failure, this.requestId);
       return;
     }
-    // The body has no room for an error: destroying the connection marks it as incomplete.
-    this.res.destroy();
+    // The body has no room for an error. Where no length is stated, an orderly close would look like
+    // the regular end of the response.
+    if (this.res.socket !== null) resetConnection(this.res.socket);
   }
 
   onDrain(listener: () => void): void {
--- a/packages/service/src/lib/service_call.ts
+++ b/packages/service/src/lib/service_call.ts
@@ -3,6 +3,7 @@
 import {
   completed,
   discardBody,
+  isCloseDelimited,
   mayHaveRun,
   notRun,
   ResetDetector,
@@ -26,6 +27,8 @@
   'upgrade',
 ]);
 
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 const CONNECT_TIMEOUT_MS = 1000;
 
 const resetDetector = new ResetDetector();
@@ -41,6 +44,7 @@
   /** Opens a new connection: a reused one may be just closing, which yields `may_have_run`. */
   readonly useNewConnection: boolean;
   readonly signal: AbortSignal;
+  /** `headers` has `connection: close` when only the end of the connection ended the body. */
   onHead(status: number, headers: Record<string, string>): void;
   /** Resolves when more data may be read, for backpressure. */
   onData(bytes: Uint8Array): Promise<void>;
@@ -83,7 +87,8 @@
     discardBody(res.body);
     return notRun('upstream_refused');
   }
-  input.onHead(res.statusCode, withoutHopByHopHeaders(joinHeaderValues(res.headers)));
+  const headers = withoutHopByHopHeaders(joinHeaderValues(res.headers));
+  input.onHead(res.statusCode, {...headers, ...framingHeaders(input.method, res)});
   try {
     for await (const bytes of res.body as AsyncIterable<Uint8Array>) await input.onData(bytes);
     return completed('answered');
@@ -92,6 +97,17 @@
   }
 }
 
+/** Tells who forwards the response that its end must not be marked in another way. */
+function framingHeaders(
+  method: string,
+  {statusCode, headers}: Dispatcher.ResponseData,
+): Record<string, string> {
+  if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(statusCode)) return {};
+  const codings = [headers['transfer-encoding'] ?? []].flat().at(-1);
+  const hasLength = headers['content-length'] !== undefined;
+  return isCloseDelimited(codings, hasLength) ? {connection: 'close'} : {};
+}
+
 function joinHeaderValues(headers: Dispatcher.ResponseData['headers']): Record<string, string> {
   const joined: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
--- a/stand_ins/users_platform/cut_replica.ts
+++ b/stand_ins/users_platform/cut_replica.ts
@@ -99,8 +99,9 @@
     this.server = createServer(socket => this.serve(socket));
   }
 
-  async listen(host: string): Promise<void> {
-    await new Promise<void>(resolve => this.server.listen(0, host, resolve));
+  /** @param port - 0 for any free one. */
+  async listen(host: string, port = 0): Promise<void> {
+    await new Promise<void>(resolve => this.server.listen(port, host, resolve));
   }
 
   close(): void {
@@ -119,9 +120,14 @@
     let received = '';
     socket.on('data', chunk => {
       received += chunk.toString('latin1');
+      if (!received.includes('\r\n\r\n')) return;
       const [, method, form, at, ending] = REQUEST.exec(received) ?? [];
-      const id = REQUEST_ID.exec(received)?.[1];
-      if (id === undefined || !received.includes('\r\n\r\n')) return;
+      const id = REQUEST_ID.exec(received)?.[1] ?? '';
+      if (method === undefined) {
+        // A health check.
+        socket.end(`HTTP/1.1 200 OK\r\ncontent-length: ${this.id.length}\r\n\r\n${this.id}`);
+        return;
+      }
       received = '';
       this.paths.add(`/${form}/${at}/${ending}`);
       const bytes = responseBytes(method, decodeURIComponent(form) as ResponseForm, id);
