Don't take an engine's error that was cut for a whole one

Callers of an entry got an engine's 400 with a short or empty body, stated at just that length, after an engine closed in the middle of a response that ends with its connection; a reset there counted as its end, too. One with a length or chunks that was cut threw out of the completion call, which skipped its verdict.

Cause: the body was read without a check for completeness. It is JSON, so one that doesn't parse was cut, and counts as upstream_cut, like one whose reading fails.

Evidence: the row "a completion that is wrong" failed before. The other seven rows held: they cut each of the system's own calls at every byte, in five framings, by a FIN, a FIN after a pause and a reset.

--- a/packages/engine/src/lib/completion_call.ts
+++ b/packages/engine/src/lib/completion_call.ts
@@ -94,15 +94,30 @@
     return isRefusal ? notRun('upstream_refused') : mayHaveRun('upstream_cut');
   }
   const body = new GrowingBuffer();
-  for await (const bytes of res.body as AsyncIterable<Uint8Array>) {
-    body.append(bytes);
-    if (body.length > MAX_ERROR_BYTES) return mayHaveRun('upstream_cut');
+  try {
+    for await (const bytes of res.body as AsyncIterable<Uint8Array>) {
+      body.append(bytes);
+      if (body.length > MAX_ERROR_BYTES) return mayHaveRun('upstream_cut');
+    }
+  } catch {
+    return mayHaveRun('upstream_cut');
   }
+  if (!isJson(body.bytes)) return mayHaveRun('upstream_cut');
   input.onHead(statusCode, {'content-type': 'application/json'});
   await input.onBody(body.bytes);
   return completed('answered');
 }
 
+/** False for a body that was cut; one that ends with its connection shows this in no other way. */
+function isJson(bytes: Uint8Array): boolean {
+  try {
+    JSON.parse(Buffer.from(bytes).toString('utf8'));
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 async function relayEvents(input: CompletionInput, res: Dispatcher.ResponseData): Promise<Verdict> {
   const parser = new CompletionEventParser();
   let done = false;
