--- a/features/steps/cut_call_steps.ts
+++ b/features/steps/cut_call_steps.ts
@@ -60,7 +60,7 @@
 
 const identify: Call = ({host, port}) => {
   const expected = {bornMs: () => BORN_MS, onOther: () => undefined};
-  const connect = identifiedConnector(buildConnector({}), {host, port}, expected);
+  const connect = identifiedConnector(buildConnector({}), {host, port}, expected, TIMEOUT_MS);
   return new Promise(resolve => {
     connect({hostname: host, port: String(port), protocol: 'http:'}, (error, socket) => {
       socket?.destroy();
