Keep a replica's pause and rate limit while its entry is away

Cause: availability and rate limit lived in the Replica object, which is made anew for a new entry. Only 'leaving' was kept over that, as a special case in the table.

What an incarnation has stated about itself is now one record, which its Replica refers to, and which is kept by incarnation (10,000 at most) while it isn't listed. The record is shared, so a response to a request that was sent before the entry lapsed still counts after it is back. 'leaving' goes through the same record; the two sets of the table become one map.

--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -4,20 +4,18 @@
 import type {ReplicaClient, ReportedLoad} from '@jasminepost/platform';
 import {
   eligibilityOf,
-  INITIAL_AVAILABILITY,
   nextRateLimit,
   nextAvailability,
-  NO_RATE_LIMIT,
   remainingPauseMs,
   type EngineCandidate,
   type RateLimitUpdate,
   type Eligibility,
-  type ReplicaAvailability,
   type RouteCandidate,
   type AvailabilityEvent,
   type ReplicaRateLimit,
 } from '@jasminepost/policy';
 import type {LoadedModel, ReplicaRegistration, CachedWeights} from '@jasminepost/serving';
+import type {IncarnationRecord} from './incarnation_records.ts';
 
 /** A load report is used for two of its intervals; later it says nothing about the current load. */
 const LOAD_VALID_INTERVALS = 2;
@@ -41,8 +39,6 @@
   kvTokens = 0;
   serviceMs = INITIAL_SERVICE_MS;
   prefillMs = INITIAL_PREFILL_MS;
-  private availability: ReplicaAvailability = INITIAL_AVAILABILITY;
-  private currentLimit: ReplicaRateLimit = NO_RATE_LIMIT;
   private isAddressReassigned = false;
   private stewardState: EngineStateMessage | undefined;
   private load: EngineLoadMessage | undefined;
@@ -55,10 +51,14 @@
   /** The most recently sent request that it has responded to: times of sending and of response. */
   private answered = {sentMs: Number.NEGATIVE_INFINITY, atMs: Number.NEGATIVE_INFINITY};
 
-  /** @param onEligibilityChanged - Called when its models or its usability may have changed. */
+  /**
+   * @param learned - Shared with earlier and later entries of the same incarnation.
+   * @param onEligibilityChanged - Called when its models or its usability may have changed.
+   */
   constructor(
     private listed: ReplicaRegistration,
     readonly client: ReplicaClient,
+    readonly learned: IncarnationRecord,
     private readonly onEligibilityChanged: () => void,
   ) {
     this.idHash = fnv1a32(listed.id);
@@ -111,25 +111,26 @@
   /** True when its registration, its steward, or one of its responses says that it is leaving. */
   get isLeaving(): boolean {
     const stewardSaysLeaving = this.currentStewardState()?.leaving === true;
-    return this.entry.leaving || stewardSaysLeaving || this.availability.kind === 'leaving';
+    return this.entry.leaving || stewardSaysLeaving || this.learned.availability.kind === 'leaving';
   }
 
   /** Records what happened to a request; returns true when this reveals that it is leaving. */
   recordEvent(event: AvailabilityEvent, nowMs: number): boolean {
-    const before = this.availability;
-    this.availability = nextAvailability(before, event, nowMs);
-    const startedLeaving = this.availability.kind === 'leaving' && before.kind !== 'leaving';
+    const before = this.learned.availability;
+    this.learned.availability = nextAvailability(before, event, nowMs);
+    const startedLeaving =
+      this.learned.availability.kind === 'leaving' && before.kind !== 'leaving';
     if (startedLeaving) this.onEligibilityChanged();
     return startedLeaving;
   }
 
   eligibilityAt(nowMs: number): Eligibility {
-    return eligibilityOf(this.availability, nowMs);
+    return eligibilityOf(this.learned.availability, nowMs);
   }
 
   /** Rate limit that it imposes on all gateways together. */
   get limit(): ReplicaRateLimit {
-    return this.currentLimit;
+    return this.learned.limit;
   }
 
   /** Share of its time that its rate limit lets it spend on prefill; infinity without a limit. */
@@ -141,7 +142,7 @@
 
   /** Applies what the response to a request sent at `sentMs` states about its rate limit. */
   updateRateLimit(update: RateLimitUpdate, sentMs: number, nowMs: number): void {
-    this.currentLimit = nextRateLimit(this.currentLimit, update, sentMs, nowMs);
+    this.learned.limit = nextRateLimit(this.limit, update, sentMs, nowMs);
   }
 
   /** Rate limit in its steward's state, 0 for none; undefined without a current steward state. */
@@ -151,7 +152,7 @@
 
   /** Milliseconds until its pause ends; 0 when it is not paused. */
   remainingPauseMs(nowMs: number): number {
-    return remainingPauseMs(this.availability, nowMs);
+    return remainingPauseMs(this.learned.availability, nowMs);
   }
 
   /** True when it is known to have ended. */
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -2,6 +2,7 @@
 import {errorMessage, type Clock, type Logger} from '@jasminepost/core';
 import {decodeReplicaRegistration, ReplicaClient, type StoreChange} from '@jasminepost/platform';
 import {incarnationId, type ReplicaRegistration, type Service} from '@jasminepost/serving';
+import {IncarnationRecords} from './incarnation_records.ts';
 import {Replica} from './replica.ts';
 
 /**
@@ -10,8 +11,6 @@
  * @internal
  */
 export const OUTAGE_GRACE_MS = 2000;
-/** Maximum number of incarnations that are remembered as leaving, and as gone. */
-const MAX_REMEMBERED = 10_000;
 /** Maximum time for which the connections to a removed replica stay open for its requests. */
 const LINGER_MS = 30_000;
 
@@ -41,10 +40,8 @@
   private readonly malformed = new Set<string>();
   /** Keys that were missing after an outage, until the grace period ends. */
   private readonly missingKeys = new Set<string>();
-  /** Removed incarnations that were leaving, the newest last. */
-  private readonly leftIncarnations = new Set<string>();
   /** Incarnations whose entries were removed, until they are listed again. */
-  private readonly gone = new Set<string>();
+  private readonly gone = new IncarnationRecords();
   private graceTimer: NodeJS.Timeout | undefined;
   private services: ReadonlyMap<string, Service> = new Map();
   /** Usable replicas that have loaded each `service/model`; rebuilt after a change. */
@@ -171,11 +168,8 @@
       bornMs: () => this.reportedStartOf(entry),
       onOther: bornMs => this.onOtherIncarnation(replica, bornMs),
     });
-    const replica = new Replica(entry, client, () => (this.usableByModel = undefined));
-    this.gone.delete(incarnationId(entry));
-    if (this.leftIncarnations.has(incarnationId(entry))) {
-      replica.recordEvent({kind: 'said_leaving'}, this.clock.monotonicMs());
-    }
+    const learned = this.gone.take(incarnationId(entry));
+    const replica = new Replica(entry, client, learned, () => (this.usableByModel = undefined));
     this.replicas.set(entry.id, replica);
     this.usableByModel = undefined;
     this.resolveAddressConflict(replica);
@@ -276,8 +270,8 @@
   private removeReplica(replica: Replica, reason: string): void {
     this.replicas.delete(replica.id);
     this.usableByModel = undefined;
-    if (replica.isLeaving) addBounded(this.leftIncarnations, incarnationId(replica.entry));
-    addBounded(this.gone, incarnationId(replica.entry));
+    if (replica.isLeaving) replica.recordEvent({kind: 'said_leaving'}, this.clock.monotonicMs());
+    this.gone.add(incarnationId(replica.entry), replica.learned);
     this.log.info('replica removed', {replica: replica.id, reason, inFlight: replica.inFlight});
     const lingerUntilMs = this.clock.monotonicMs() + LINGER_MS;
     const close = () => {
@@ -291,12 +285,6 @@
   }
 }
 
-/** Adds to a set of bounded size, which drops its oldest member. */
-function addBounded(set: Set<string>, incarnation: string): void {
-  set.add(incarnation);
-  if (set.size > MAX_REMEMBERED) set.delete(set.values().next().value!);
-}
-
 function isSameIncarnation(a: ReplicaRegistration, b: ReplicaRegistration): boolean {
   return (
     a.bornMs === b.bornMs &&
--- a/features/leaving_and_pause.feature
+++ b/features/leaving_and_pause.feature
@@ -23,6 +23,23 @@
     Then every answer is whole
     And none of them reached that engine
 
+  # The entry of a replica that couldn't renew it lapsed, and what it had said was forgotten.
+  Scenario Outline: a replica that <asked> keeps that when its entry lapses and comes back
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    And the first replica <states>
+    When a caller sends 12 orders
+    Then neither a changed nor a new entry brings it requests again
+
+    Examples:
+      | asked              | states                                   |
+      | asked for a pause  | refuses requests with a Retry-After of "60" |
+      | named a rate limit | names a rate limit of 0.05               |
+
+  Scenario: a replica that reports leaving after its entry has lapsed gets no requests when it is back
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    When the first replica's entry lapses while it works on orders whose responses report leaving
+    Then neither a changed nor a new entry brings it requests again
+
   Scenario: a replica that restarts with the id of one that left gets requests
     Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
     When the first replica reports in its responses that it is leaving
--- a/features/steps/leaving_and_pause_steps.ts
+++ b/features/steps/leaving_and_pause_steps.ts
@@ -3,6 +3,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {until} from '../support/fleet_process.ts';
 import {usersScenario, replicas} from '../support/users_scenario.ts';
 import type {FleetWorld} from '../support/world.ts';
 
@@ -11,6 +12,8 @@
 const IMMEDIATE_MS = 150;
 /** By then a request that was in flight when the pause was sent has arrived. */
 const IN_FLIGHT_MS = 100;
+/** Enough orders at once for both replicas. */
+const ORDERS = 6;
 
 function setPause(replica: UsersReplica, pause: string): void {
   replica.fault = 'sheds';
@@ -98,6 +101,26 @@
   },
 );
 
+Given('the first replica names a rate limit of {float}', function (this: FleetWorld, perS: number) {
+  replicas(this)[0].rateLimitHeader = String(perS);
+});
+
+When(
+  "the first replica's entry lapses while it works on orders whose responses report leaving",
+  async function (this: FleetWorld) {
+    const {fleet} = usersScenario(this);
+    const [replica] = fleet.services;
+    replica.reportsLeaving = true;
+    replica.workMs = SETTLE_MS;
+    const orders = Array.from({length: ORDERS}, () => fleet.call({path: '/order/7'}));
+    await until('an order at the first replica', SETTLE_MS, () =>
+      Promise.resolve(replica.arrivalsMs.length > 0 || undefined),
+    );
+    fleet.store.remove(`servers/${replica.id}`);
+    await Promise.all(orders);
+  },
+);
+
 Then('at most {int} of them reached the first replica', function (this: FleetWorld, max: number) {
   const {length} = replicas(this)[0].arrivalsMs;
   assert.ok(length <= max, String(length));
@@ -114,6 +137,7 @@
       await sleep(SETTLE_MS);
       fleet.register(replica);
       await sleep(SETTLE_MS);
+      await Promise.all(Array.from({length: ORDERS}, () => fleet.call({path: '/order/7'})));
       for (let i = 0; i < 10; i++) await fleet.call({path: '/order/7'});
     }
     assert.equal(replica.arrivalsMs.length, before);
--- a/packages/policy/src/lib/replica_availability.ts
+++ b/packages/policy/src/lib/replica_availability.ts
@@ -39,14 +39,15 @@
 
 /**
  * Handles a replica that fails, is full or leaves while its list entry still says that it is ready.
+ * The state belongs to an incarnation: it outlives the list entry, which may lapse and come back.
  *
- * | from \ event | sent         | taken   | answered | failed          | given_up | turned_away | said_leaving |
- * | ------------ | ------------ | ------- | -------- | --------------- | -------- | ----------- | ------------ |
- * | open         | -            | -       | open     | open or tripped | -        | paused      | leaving      |
- * | tripped      | -            | -       | open     | tripped         | -        | paused      | leaving      |
- * | paused       | probed, late | -       | -        | -               | -        | paused      | leaving      |
- * | probed       | -            | open    | open     | open            | paused   | paused      | leaving      |
- * | leaving      | -            | -       | -        | -               | -        | -           | -            |
+ * | from \ event | sent         | taken   | answered | failed          | given_up | turned_away | said_leaving | entry relisted |
+ * | ------------ | ------------ | ------- | -------- | --------------- | -------- | ----------- | ------------ | -------------- |
+ * | open         | -            | -       | open     | open or tripped | -        | paused      | leaving      | -              |
+ * | tripped      | -            | -       | open     | tripped         | -        | paused      | leaving      | -              |
+ * | paused       | probed, late | -       | -        | -               | -        | paused      | leaving      | -              |
+ * | probed       | -            | open    | open     | open            | paused   | paused      | leaving      | -              |
+ * | leaving      | -            | -       | -        | -               | -        | -           | -            | -              |
  *
  * @example
  * state = nextAvailability(state, {kind: 'turned_away', pauseMs: 1500}, clock.monotonicMs());
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -208,11 +208,25 @@
   },
   {
     name: 'leaving is forgotten with the entry',
-    file: 'apps/gateway/src/lib/replica_table.ts',
-    find: 'if (this.leftIncarnations.has(incarnationId(entry))) {',
-    replace: 'if (false) {',
+    file: 'apps/gateway/src/lib/incarnation_records.ts',
+    find: 'return found ?? {',
+    replace: 'return {...found, ',
     features: ['features/leaving_and_pause.feature', '--name', 'leaving in whole answers'],
   },
+  {
+    name: 'a pause is forgotten with the entry',
+    file: 'apps/gateway/src/lib/incarnation_records.ts',
+    find: 'return found ?? {',
+    replace: "if (found?.availability.kind === 'leaving') return found;\n    return {...found, ",
+    features: ['features/leaving_and_pause.feature', '--name', 'asked for a pause keeps'],
+  },
+  {
+    name: 'a rate limit is forgotten with the entry',
+    file: 'apps/gateway/src/lib/incarnation_records.ts',
+    find: 'return found ?? {availability: INITIAL_AVAILABILITY,',
+    replace: 'return {availability: found?.availability ?? INITIAL_AVAILABILITY,',
+    features: ['features/leaving_and_pause.feature', '--name', 'rate limit keeps'],
+  },
   {
     name: 'stewards do not tell of leaving',
     file: 'apps/steward/src/lib/engine_monitor.ts',
