--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,27 +1,37 @@
 /** `npm run soak -- --seeds 50`: runs many seeds and keeps the logs of those with violations. */
 import {mkdirSync, writeFileSync} from 'node:fs';
-import {command, number, option, run} from 'cmd-ts';
-import {runSoak} from './soak_run.ts';
+import {command, number, oneOf, option, run} from 'cmd-ts';
+import {runSoak, type SoakReport} from './soak_run.ts';
+import {runVersionSoak} from './version_soak.ts';
 
+const KINDS: Readonly<Record<string, (seed: number) => Promise<SoakReport>>> = {
+  faults: runSoak,
+  versions: runVersionSoak,
+};
 const LOG_FOLDER = 'soak-logs';
 
 const app = command({
   name: 'soak',
   description: 'Runs the real programs under faults, and checks what callers and replicas observe.',
   args: {
+    kind: option({
+      type: oneOf(Object.keys(KINDS)),
+      long: 'kind',
+      defaultValue: () => 'faults',
+    }),
     seeds: option({type: number, long: 'seeds', defaultValue: () => 10}),
     first: option({type: number, long: 'first', defaultValue: () => 1}),
     jobs: option({type: number, long: 'jobs', defaultValue: () => 2}),
   },
-  handler: async ({seeds, first, jobs}) => {
+  handler: async ({kind, seeds, first, jobs}) => {
     let next = first;
     let failed = 0;
     const runSeeds = async () => {
       while (next < first + seeds) {
-        const report = await runSoak(next++);
+        const report = await KINDS[kind](next++);
         const kinds = report.faults.map(fault => fault.kind).join(', ');
         console.log(
-          `seed ${report.seed}: ${report.succeeded} of ${report.calls} calls succeeded; ${kinds}`,
+          `seed ${report.seed}: ${report.succeeded} of ${report.calls} calls succeeded; ${report.remark ?? kinds}`,
         );
         if (report.violations.length === 0) continue;
         failed += 1;
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -193,13 +193,15 @@
   return items[Math.floor((pick % 1) * items.length)];
 }
 
-async function pause(process: FleetProcess, forMs: number): Promise<void> {
+/** Stops a process for `forMs`. */
+export async function pause(process: FleetProcess, forMs: number): Promise<void> {
   process.signal('SIGSTOP');
   await sleep(forMs);
   process.signal('SIGCONT');
 }
 
-async function stopAndRestart(
+/** Ends a process, and restarts it once it has exited. */
+export async function stopAndRestart(
   process: FleetProcess,
   signal: 'SIGKILL' | 'SIGTERM',
   restart: () => void,
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -3,23 +3,19 @@
 import {SeededRandom} from '../bench/random.ts';
 import {UsersFleet} from '../features/support/users_fleet.ts';
 import {findViolations, findOverloadedEngines} from './soak_checks.ts';
-import {
-  drawFaults,
-  faultKindsForSeed,
-  injectFault,
-  type Fault,
-  type FaultKind,
-} from './soak_faults.ts';
+import {drawFaults, faultKindsForSeed, injectFault, type FaultKind} from './soak_faults.ts';
 import {SoakLoad, type CallKind} from './soak_load.ts';
 
 export interface SoakReport {
   readonly seed: number;
-  readonly faults: readonly Fault[];
+  readonly faults: readonly {readonly kind: string}[];
   readonly calls: number;
   readonly succeeded: number;
   readonly violations: readonly string[];
   /** Logs of all processes; kept if there are violations. */
   readonly logs: string;
+  /** What else is of interest in a run without violations. */
+  readonly remark?: string;
 }
 
 /** Faults after which a gateway has no state of replicas, or an outdated one. */
