--- a/soak/version_soak.ts
+++ b/soak/version_soak.ts
@@ -9,7 +9,7 @@
 
 type GatewaySignal = 'SIGTERM' | 'SIGKILL' | 'SIGSTOP';
 
-export type VersionFault =
+type VersionFault =
   | {
       readonly kind: 'signal to gateways';
       readonly atMs: number;
@@ -55,7 +55,7 @@
 const MIN_SHARE_OF_NEW = 0.5;
 
 /** Faults of a seed, ordered by start time; they overlap. */
-export function drawVersionFaults(random: () => number): VersionFault[] {
+function drawVersionFaults(random: () => number): VersionFault[] {
   const count = MIN_FAULTS + Math.floor(random() * EXTRA_FAULTS);
   const all = Array.from({length: GATEWAYS}, (_, index) => index);
   const faults = Array.from({length: count}, (): VersionFault => {
