Keep crash reports out of the way of relayed store changes

Reports by mesh and their answers grew with the square of the gateways as well.

Now the planner's gateway alone stores the reports that must survive a restart of all gateways, at a bounded mean rate; others do only while the planner is unreachable. Stored reports aren't relayed as store changes; the planner's gateway passes on what is new in them. Reports by mesh go through a queue that merges them, sends each fact once, and keeps a byte rate that is shared by the whole fleet; they wait in front of the socket, where other messages overtake them.

--- a/apps/gateway/src/lib/crash_news_outbox.ts
+++ b/apps/gateway/src/lib/crash_news_outbox.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@jasminepost/core';
 import type {CrashNewsMessage} from '@jasminepost/mesh';
 import {isPartKey, type ReplicaFailure} from '@jasminepost/policy';
+import {toEnding} from './crash_news_sender.ts';
 
 /**
  * Longest delay after which a gateway answers a report about a part that it knows to be innocent.
@@ -23,7 +24,7 @@
 
 /** @internal */
 export class CrashNewsOutbox {
-  private unsent = new Map<string, CrashNews>();
+  private unsent: CrashNews[] = [];
   /** Replica incarnations whose failure has been announced or heard, by key. */
   private readonly shared = new Map<string, Set<string>>();
   /** Keys of parts whose completion the other gateways should be told of. */
@@ -51,18 +52,24 @@
     if (this.hasAnnounced(key, failure.replica)) return;
     this.remember(key, failure.replica);
     const endings = [toEnding(failure, this.ctx.clock.monotonicMs())];
-    this.queue({fingerprint: key, endings, withdrawn: [], served: false});
+    this.unsent.push({fingerprint: key, endings, withdrawn: [], served: false});
   }
 
   queueWithdrawal(key: string, replica: string): void {
-    this.queue({fingerprint: key, endings: [], withdrawn: [replica], served: false});
+    this.unsent.push({fingerprint: key, endings: [], withdrawn: [replica], served: false});
   }
 
   /** Queues that a request with the key was completed. */
   queueCompletion(key: string, atMs: number): void {
     this.shared.delete(key);
     const completedAgoMs = Math.max(0, this.ctx.clock.monotonicMs() - atMs);
-    this.queue({fingerprint: key, endings: [], withdrawn: [], served: true, completedAgoMs});
+    this.unsent.push({
+      fingerprint: key,
+      endings: [],
+      withdrawn: [],
+      served: true,
+      completedAgoMs,
+    });
   }
 
   /** Handles failures that another gateway has reported; answers if the part is known here. */
@@ -81,23 +88,27 @@
 
   /** Sends all queued reports. */
   flush(): void {
-    if (this.unsent.size === 0) return;
-    const requests = [...this.unsent.values()];
-    this.unsent = new Map();
+    if (this.unsent.length === 0) return;
+    const requests = this.unsent;
+    this.unsent = [];
     this.ctx.announce({type: 'crash_news', requests});
   }
 
-  /** Encodes failures as a report. */
+  /** Encodes failures as a report, with the latest completion of each key. */
   encode(
     failuresByKey: ReadonlyArray<readonly [string, readonly ReplicaFailure[]]>,
   ): CrashNewsMessage {
     const nowMs = this.ctx.clock.monotonicMs();
-    const requests = failuresByKey.map(([fingerprint, failures]) => ({
-      fingerprint,
-      endings: failures.map(failure => toEnding(failure, nowMs)),
-      withdrawn: [],
-      served: false,
-    }));
+    const requests = failuresByKey.map(([fingerprint, failures]) => {
+      const completedMs = this.completedMs(fingerprint);
+      return {
+        fingerprint,
+        endings: failures.map(failure => toEnding(failure, nowMs)),
+        withdrawn: [],
+        served: completedMs !== undefined,
+        ...(completedMs === undefined ? {} : {completedAgoMs: Math.max(0, nowMs - completedMs)}),
+      };
+    });
     return {type: 'crash_news', requests};
   }
 
@@ -115,14 +126,6 @@
     this.flush();
   }
 
-  /** Merges a report into the next message. */
-  private queue(news: CrashNews): void {
-    const before = this.unsent.get(news.fingerprint);
-    const endings = [...(before?.endings ?? []), ...news.endings];
-    const withdrawn = [...(before?.withdrawn ?? []), ...news.withdrawn];
-    this.unsent.set(news.fingerprint, {...news, endings, withdrawn});
-  }
-
   private remember(key: string, replica: string): void {
     const replicas = this.shared.get(key) ?? new Set<string>();
     this.shared.set(key, replicas.add(replica));
@@ -131,15 +134,3 @@
     }
   }
 }
-
-/** Converts times to ages, because the monotonic clocks of gateways are unrelated. */
-function toEnding(
-  {replica, sentMs, atMs}: ReplicaFailure,
-  nowMs: number,
-): CrashNews['endings'][number] {
-  return {
-    replica,
-    sentAgoMs: Math.max(0, nowMs - sentMs),
-    agoMs: Math.max(0, nowMs - atMs),
-  };
-}
--- a/apps/gateway/src/lib/fleet_watcher.ts
+++ b/apps/gateway/src/lib/fleet_watcher.ts
@@ -51,8 +51,12 @@
   onReplicaSnapshot(changes: readonly StoreChange[], kind: SnapshotKind): void;
   /** @returns True when the change matters to gateways that are linked to the replica's steward. */
   onReplicaChange(change: StoreChange, afterOutage: boolean): boolean;
-  /** Called for a change of any other key, such as that of the planner role's holder. */
-  onOtherChange(change: StoreChange): void;
+  /**
+   * Called for a change of any other key, such as that of the planner role's holder.
+   *
+   * @returns True when the change is to be relayed.
+   */
+  onOtherChange(change: StoreChange): boolean;
   /** True while this gateway reads the store on behalf of the others. */
   isRelay(): boolean;
   relay(message: StoreChangesMessage): void;
@@ -198,16 +202,16 @@
     }
     if (change.value === undefined) this.otherKeys.delete(change.key);
     else this.otherKeys.add(change.key);
-    this.notifyOther(change);
-    return true;
+    return this.notifyOther(change);
   }
 
   /** Passes on a change of another key; one that can't be handled must not hide the next ones. */
-  private notifyOther(change: StoreChange): void {
+  private notifyOther(change: StoreChange): boolean {
     try {
-      this.events.onOtherChange(change);
+      return this.events.onOtherChange(change);
     } catch (thrown) {
       this.log.error('store change not applied', {key: change.key, error: errorMessage(thrown)});
+      return true;
     }
   }
 
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -1,5 +1,11 @@
 /** Link to the gateway that holds the planner role; reports this gateway's demand to it. */
-import {Disposer, type CounterFamily, type HostPort, type Logger} from '@jasminepost/core';
+import {
+  Disposer,
+  type Clock,
+  type CounterFamily,
+  type HostPort,
+  type Logger,
+} from '@jasminepost/core';
 import {
   MeshClient,
   type CrashNewsMessage,
@@ -12,6 +18,7 @@
   type PermitGrantMessage,
   type StoreChangesMessage,
 } from '@jasminepost/mesh';
+import {CrashNewsSender, FLEET_REPORT_BYTES_PER_S} from './crash_news_sender.ts';
 
 const DEMAND_INTERVAL_MS = 250;
 /**
@@ -22,6 +29,8 @@
 
 /** @internal */
 export interface PlannerLinkEvents {
+  /** Number of gateways that share the rate of crash reports. */
+  gateways(): number;
   /** Returns the demand counted since the last call. */
   collectDemand(): ModelDemandMessage;
   /** Called instead of sending the demand while this gateway is the planner. */
@@ -42,16 +51,23 @@
 export class PlannerLink {
   private client: MeshClient | undefined;
   private address: HostPort | undefined;
+  private readonly crashNews: CrashNewsSender;
   private readonly disposer = new Disposer();
 
   constructor(
     private readonly self: MemberInfo,
     private readonly ownAddress: HostPort,
     private readonly authenticator: HandshakeAuthenticator,
+    clock: Clock,
     private readonly log: Logger,
     private readonly faults: CounterFamily<LinkCloseReason>,
     private readonly events: PlannerLinkEvents,
   ) {
+    this.crashNews = new CrashNewsSender(
+      clock,
+      () => FLEET_REPORT_BYTES_PER_S / Math.max(1, events.gateways()),
+      message => this.client?.link?.sendDeferrable(message),
+    );
     this.disposer.interval(DEMAND_INTERVAL_MS, () => this.sendDemand());
   }
 
@@ -74,8 +90,7 @@
         onUp: client => {
           this.log.info('planner linked', {host: address.host});
           // What was sent over an earlier link may have been lost with it.
-          const news = this.events.crashNews();
-          if (news.requests.length > 0) client.link?.send(news);
+          this.crashNews.restart(this.events.crashNews());
           const limits = this.events.limitNews();
           if (limits.limits.length > 0) client.link?.send(limits);
         },
@@ -100,7 +115,10 @@
 
   /** Sends crash reports to the planner, which broadcasts it to all gateways. */
   announceCrashes(message: CrashNewsMessage): void {
-    if (this.client?.link?.send(message) === true) return;
+    if (this.client?.link !== undefined) {
+      this.crashNews.add(message);
+      return;
+    }
     const {length} = message.requests;
     this.log.warn('crash reports not sent', {requests: length, reason: 'no link to a planner'});
   }
@@ -117,6 +135,7 @@
 
   dispose(): void {
     this.disposer.dispose();
+    this.crashNews.dispose();
     this.client?.dispose();
   }
 
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -17,6 +17,7 @@
 } from '@jasminepost/mesh';
 import type {StoreChange} from '@jasminepost/platform';
 import type {WeightLoadReport} from '@jasminepost/policy';
+import {CrashNewsSender, FLEET_REPORT_BYTES_PER_S} from './crash_news_sender.ts';
 import {PermitRequestHandler} from './permit_request_handler.ts';
 import {Planner, type PlannerContext} from './planner.ts';
 import {PlannerLink} from './planner_link.ts';
@@ -43,6 +44,8 @@
   readonly address: HostPort;
   readonly authenticator: HandshakeAuthenticator;
   readonly faults: CounterFamily<LinkCloseReason>;
+  /** Number of gateways of the fleet. */
+  gateways(): number;
   collectDemand(): ModelDemandMessage;
   /** Requests known here to crash replicas. */
   crashNews(): CrashNewsMessage;
@@ -63,6 +66,10 @@
   private readonly link: PlannerLink;
   private readonly mesh: MeshServer;
   private readonly permitHandler: PermitRequestHandler;
+  /** Crash reports to all linked gateways. */
+  private readonly crashNews: CrashNewsSender;
+  /** Crash reports to gateways that have linked, until all known ones are sent. */
+  private readonly crashLists = new Map<MeshLink, CrashNewsSender>();
   private isHolderKnown = false;
   private lastReachedMs = Number.NEGATIVE_INFINITY;
 
@@ -88,7 +95,13 @@
       () => this.planner.actingTerm(),
       () => this.lease.heldTerm() > 0,
     );
-    this.link = new PlannerLink(self, address, authenticator, log, faults, {
+    this.crashNews = new CrashNewsSender(
+      clock,
+      () => this.reportBytesPerLink(),
+      message => this.mesh.broadcastDeferrable(message),
+    );
+    this.link = new PlannerLink(self, address, authenticator, clock, log, faults, {
+      gateways: () => ctx.gateways(),
       collectDemand: () => ctx.collectDemand(),
       onLocalDemand: message => this.planner.recordDemand(self.id, message),
       onStoreChanges: message => ctx.onStoreChanges(message),
@@ -103,13 +116,12 @@
       authenticator,
       {
         onLink: link => {
-          const news = ctx.crashNews();
-          if (news.requests.length > 0) link.send(news);
+          this.sendCrashList(link);
           const limits = ctx.limitNews();
           if (limits.limits.length > 0) link.send(limits);
         },
         onMessage: (link, message) => this.receive(link, message),
-        onLinkLost: () => undefined,
+        onLinkLost: link => this.endCrashList(link),
       },
       faults,
     );
@@ -161,7 +173,7 @@
 
   /** Reports requests that crash replicas to the other gateways, by way of the planner. */
   announceCrashes(message: CrashNewsMessage): void {
-    if (this.link.holdsRole) this.mesh.broadcast(message);
+    if (this.link.holdsRole) this.crashNews.add(message);
     else this.link.announceCrashes(message);
   }
 
@@ -183,10 +195,36 @@
   dispose(): void {
     this.lease.dispose();
     this.planner.dispose();
+    this.crashNews.dispose();
+    for (const link of this.crashLists.keys()) this.endCrashList(link);
     this.link.dispose();
     this.mesh.close();
   }
 
+  /** Sends all known crash reports to a gateway that has linked. */
+  private sendCrashList(link: MeshLink): void {
+    const list = new CrashNewsSender(
+      this.ctx.clock,
+      () => this.reportBytesPerLink(),
+      message => {
+        link.sendDeferrable(message);
+        if (list.isEmpty) this.endCrashList(link);
+      },
+    );
+    this.crashLists.set(link, list);
+    list.add(this.ctx.crashNews());
+    if (list.isEmpty) this.endCrashList(link);
+  }
+
+  private endCrashList(link: MeshLink): void {
+    this.crashLists.get(link)?.dispose();
+    this.crashLists.delete(link);
+  }
+
+  private reportBytesPerLink(): number {
+    return FLEET_REPORT_BYTES_PER_S / Math.max(1, this.mesh.links.size);
+  }
+
   private reachesStewards(): boolean {
     const {ctx} = this;
     const nowMs = ctx.clock.monotonicMs();
@@ -203,7 +241,7 @@
         return;
       case 'crash_news':
         this.ctx.onCrashNews(message);
-        this.mesh.broadcast(message);
+        this.crashNews.add(message);
         return;
       case 'limit_news':
         this.ctx.onLimitNews(message);
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -118,6 +118,7 @@
     log,
     self: instance.id,
     announce: message => planner.announceCrashes(message),
+    isRelay: () => planner.isRelay,
     isPlannerReachable: () => planner.isRelay || fleetWatcher.isRelayed,
     list: () => crashes.list(),
     applyNews: message => crashes.applyNews(message),
@@ -233,9 +234,10 @@
     isLinked: replica => stewardLinks.isLinked(replica),
     sendPlacement: (replica, message) => stewardLinks.sendPlacement(replica, message),
     onMove: move => metrics.placements.increment(move.source),
+    gateways,
     collectDemand: () => demand.collect(generations.waitingByModel()),
     crashNews: () => crashes.list(),
-    onCrashNews: message => crashes.applyNews(message),
+    onCrashNews: message => crashNewsSync.onNews(message),
     limitNews: () => limits.news(),
     onLimitNews: message => limits.onNews(message),
     onPermits: message => limits.onGrant(message),
@@ -249,6 +251,7 @@
       planner.onStoreChange(change);
       crashNewsSync.applyChange(change);
       defaultVersions.applyChange(change);
+      return !crashNewsSync.isReport(change);
     },
     isRelay: () => planner.isRelay,
     relay: message => planner.relay(message),
--- a/features/support/relay_simulation.ts
+++ b/features/support/relay_simulation.ts
@@ -31,7 +31,7 @@
       onConfig: text => (applied = text),
       onReplicaSnapshot: () => undefined,
       onReplicaChange: () => true,
-      onOtherChange: () => undefined,
+      onOtherChange: () => true,
       isRelay: () => true,
       relay: message => relayed.push(message),
       gateways: () => GATEWAYS,
--- a/packages/mesh/src/lib/mesh_link.ts
+++ b/packages/mesh/src/lib/mesh_link.ts
@@ -17,6 +17,9 @@
   | 'silent'
   | 'socket_error';
 
+/** Deferrable frames that wait for one that the socket has not accepted; older ones are dropped. */
+const MAX_DEFERRED_FRAMES = 256;
+
 interface LinkHandlers {
   onMessage(message: MeshMessage): void;
   onClose(reason: LinkCloseReason): void;
@@ -34,6 +37,9 @@
   private handlers: LinkHandlers | undefined;
   private fault: LinkCloseReason | undefined;
   private isCorked = false;
+  private deferred: Buffer[] = [];
+  /** True until the socket has accepted the last deferrable frame. */
+  private isDeferrableWritten = false;
 
   constructor(
     private readonly socket: Socket,
@@ -52,7 +58,7 @@
 
   /** Bytes not yet sent. */
   get queuedBytes(): number {
-    return this.socket.writableLength;
+    return this.deferred.reduce((sum, frame) => sum + frame.length, this.socket.writableLength);
   }
 
   setHandlers(handlers: LinkHandlers): void {
@@ -70,6 +76,34 @@
 
   /** Queues an encoded frame, so that a broadcast encodes its message once. */
   sendFrame(frame: Buffer): boolean {
+    return this.write(frame);
+  }
+
+  /** Queues a message that others overtake while the peer reads slowly. */
+  sendDeferrable(message: MeshMessage): boolean {
+    return this.sendDeferrableFrame(encodeFrame(message));
+  }
+
+  sendDeferrableFrame(frame: Buffer): boolean {
+    if (this.fault !== undefined) return false;
+    this.deferred.push(frame);
+    if (this.deferred.length > MAX_DEFERRED_FRAMES) this.deferred.shift();
+    this.writeDeferred();
+    return true;
+  }
+
+  private writeDeferred(): void {
+    if (this.isDeferrableWritten) return;
+    const frame = this.deferred.shift();
+    if (frame === undefined) return;
+    this.isDeferrableWritten = true;
+    this.write(frame, () => {
+      this.isDeferrableWritten = false;
+      this.writeDeferred();
+    });
+  }
+
+  private write(frame: Buffer, onAccepted?: () => void): boolean {
     if (this.fault !== undefined) return false;
     if (!this.isCorked) {
       this.isCorked = true;
@@ -80,7 +114,7 @@
       });
     }
     this.bytesSent += frame.length;
-    this.socket.write(frame);
+    this.socket.write(frame, onAccepted);
     return true;
   }
 
--- a/packages/mesh/src/lib/mesh_server.ts
+++ b/packages/mesh/src/lib/mesh_server.ts
@@ -47,6 +47,15 @@
     }
   }
 
+  /** Sends a message that others overtake to all peers. */
+  broadcastDeferrable(message: MeshMessage): void {
+    if (this.links.size === 0) return;
+    const frame = encodeFrame(message);
+    for (const link of this.links) {
+      if (link.peer !== undefined) link.sendDeferrableFrame(frame);
+    }
+  }
+
   /** Bytes sent and received over the links that are open. */
   openLinkBytes(): number {
     let bytes = 0;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -21,6 +21,7 @@
   type CrashDecision,
   type ReplicaFailure,
 } from './lib/crash_record.ts';
+export {CrashReportQueue, reportBytes, type CrashReport} from './lib/crash_report_queue.ts';
 export {
   decideQuarantine,
   SuspectList,
