Date what a gateway knows of the store by the request that read it

Responses are dated by the sending of their call. Relayed changes carry their age, and the planner's gateway returns to each gateway, just before them, the time of that gateway's last message with how long it was held. Both are measured on one clock each, so a gateway can date the contents on its own clock without comparing clocks, and never as fresher than they are. That age decides when a gateway watches the store itself, and it is what contactAgeMs returns.

--- a/apps/gateway/src/lib/fleet_watcher.ts
+++ b/apps/gateway/src/lib/fleet_watcher.ts
@@ -24,8 +24,11 @@
 const RELAY_WATCH_MS = 500;
 /** Timeout of the configuration watch while the planner's gateway reports newer revisions. */
 const CONFIG_WATCH_MS = 10_000;
-/** Without relayed changes for this long, a gateway watches the store itself. */
-const RELAY_TIMEOUT_MS = 1200;
+/**
+ * A gateway watches the store itself once what is relayed is older. It is normally as old as a
+ * watch, a batch delay and the next watch.
+ */
+const RELAY_TIMEOUT_MS = 1500;
 const CHECK_INTERVAL_MS = 100;
 /** A configuration older than that of the planner's gateway is read again after this. */
 const MAX_CONFIG_LAG_MS = 400;
@@ -74,7 +77,8 @@
   /** Known keys other than replicas', needed to detect deletions in a snapshot. */
   private otherKeys = new Set<string>();
   private settledAtMs = Number.NEGATIVE_INFINITY;
-  private lastRelayedMs = Number.NEGATIVE_INFINITY;
+  /** Time as of which the last relayed changes were current. */
+  private relayedAsOfMs = Number.NEGATIVE_INFINITY;
   private relayedSettling = false;
   private wasRelayed = false;
   /** Revision at which the last configuration read here was written. */
@@ -120,7 +124,7 @@
 
   /** True while changes are relayed by the planner's gateway. */
   get isRelayed(): boolean {
-    return !this.events.isRelay() && performance.now() - this.lastRelayedMs < RELAY_TIMEOUT_MS;
+    return !this.events.isRelay() && performance.now() - this.relayedAsOfMs < RELAY_TIMEOUT_MS;
   }
 
   /** Store revision up to which the replicas are known here; -1 before the first read. */
@@ -128,7 +132,7 @@
     return this.fleetKeys.revision;
   }
 
-  /** Time since the last contact with the store or the relaying gateway. */
+  /** Age of what is known of the store, from the request that it was read with. */
   get contactAgeMs(): number {
     return this.fleetKeys.contactAgeMs;
   }
@@ -144,15 +148,19 @@
     this.config.dispose();
   }
 
-  /** Applies changes relayed by the planner's gateway, unless earlier ones are missing. */
-  applyRelayed(message: StoreChangesMessage): void {
+  /**
+   * Applies changes relayed by the planner's gateway, unless earlier ones are missing.
+   *
+   * @param asOfMs - Time as of which they were current; a message may have waited for long.
+   */
+  applyRelayed(message: StoreChangesMessage, asOfMs: number): void {
     const {era, since, revision, settling, gateways, configRevision, changes} = message;
     this.reportedGatewayCount = gateways;
     if (this.events.isRelay()) return;
     const received = changes.map(({key, revision: at, value}) => ({key, revision: at, value}));
-    const newChanges = this.fleetKeys.applyRelayed(era, since, revision, received);
+    const newChanges = this.fleetKeys.applyRelayed(era, since, revision, received, asOfMs);
     if (newChanges === undefined) return;
-    this.lastRelayedMs = performance.now();
+    this.relayedAsOfMs = Math.max(this.relayedAsOfMs, asOfMs);
     this.relayedSettling = settling;
     for (const change of newChanges) this.dispatch(change);
     if (era === this.config.era) this.checkConfigRevision(configRevision);
@@ -191,6 +199,7 @@
       settling: this.isSettling(),
       gateways: this.events.linkedGatewayCount(),
       configRevision: this.configRevision,
+      ageMs: Math.max(0, this.fleetKeys.contactAgeMs),
       changes: relevant,
     });
   }
--- a/apps/gateway/src/lib/planner_link.ts
+++ b/apps/gateway/src/lib/planner_link.ts
@@ -18,6 +18,7 @@
   type PermitGrantMessage,
   type StoreChangesMessage,
 } from '@jasminepost/mesh';
+import {relayedAsOfMs, type TimeEcho} from '@jasminepost/policy';
 import {CrashNewsSender, FLEET_REPORT_BYTES_PER_S} from './crash_news_sender.ts';
 
 const DEMAND_INTERVAL_MS = 250;
@@ -36,7 +37,7 @@
   /** Called instead of sending the demand while this gateway is the planner. */
   onLocalDemand(message: ModelDemandMessage): void;
   /** Called for store changes relayed by the planner's gateway. */
-  onStoreChanges(message: StoreChangesMessage): void;
+  onStoreChanges(message: StoreChangesMessage, asOfMs: number): void;
   /** Requests known here to crash replicas. */
   crashNews(): CrashNewsMessage;
   /** Called when another gateway reports requests that crash replicas. */
@@ -52,6 +53,8 @@
   private client: MeshClient | undefined;
   private address: HostPort | undefined;
   private readonly crashNews: CrashNewsSender;
+  /** Echo that was sent together with the next store changes. */
+  private echo: TimeEcho | undefined;
   private readonly disposer = new Disposer();
 
   constructor(
@@ -89,6 +92,7 @@
       {
         onUp: client => {
           this.log.info('planner linked', {host: address.host});
+          this.echo = undefined;
           // What was sent over an earlier link may have been lost with it.
           this.crashNews.restart(this.events.crashNews());
           const limits = this.events.limitNews();
@@ -96,7 +100,8 @@
         },
         onMessage: (_client, message) => {
           if (message.type === 'crash_news') this.events.onCrashNews(message);
-          if (message.type === 'store_changes') this.events.onStoreChanges(message);
+          if (message.type === 'time_echo') this.echo = message;
+          if (message.type === 'store_changes') this.receiveStoreChanges(message);
           if (message.type === 'limit_news') this.events.onLimitNews(message);
           if (message.type === 'permit_grant') this.events.onPermits(message);
         },
@@ -146,7 +151,13 @@
     if (!isPlanner && link === undefined) return;
     const demand = this.events.collectDemand();
     if (isPlanner) this.events.onLocalDemand(demand);
-    else link?.send(demand);
+    else link?.send({...demand, sentMs: performance.now()});
+  }
+
+  private receiveStoreChanges(message: StoreChangesMessage): void {
+    const asOfMs = relayedAsOfMs(this.echo, message.ageMs, performance.now());
+    this.echo = undefined;
+    this.events.onStoreChanges(message, asOfMs);
   }
 
   private isOwnAddress(address: HostPort): boolean {
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -56,7 +56,7 @@
   /** Called with permits granted after `requestPermits`. */
   onPermits(message: PermitGrantMessage): void;
   /** Called for store changes relayed by the planner's gateway. */
-  onStoreChanges(message: StoreChangesMessage): void;
+  onStoreChanges(message: StoreChangesMessage, asOfMs: number): void;
 }
 
 /** @internal */
@@ -70,6 +70,8 @@
   private readonly crashNews: CrashNewsSender;
   /** Crash reports to gateways that have linked, until all known ones are sent. */
   private readonly crashLists = new Map<MeshLink, CrashNewsSender>();
+  /** Time of each linked gateway's last demand, on its clock and on this one's. */
+  private readonly lastDemands = new Map<MeshLink, {sentMs: number; receivedMs: number}>();
   private isHolderKnown = false;
   private lastReachedMs = Number.NEGATIVE_INFINITY;
 
@@ -104,7 +106,7 @@
       gateways: () => ctx.gateways(),
       collectDemand: () => ctx.collectDemand(),
       onLocalDemand: message => this.planner.recordDemand(self.id, message),
-      onStoreChanges: message => ctx.onStoreChanges(message),
+      onStoreChanges: (message, asOfMs) => ctx.onStoreChanges(message, asOfMs),
       crashNews: () => ctx.crashNews(),
       onCrashNews: message => ctx.onCrashNews(message),
       limitNews: () => ctx.limitNews(),
@@ -121,7 +123,10 @@
           if (limits.limits.length > 0) link.send(limits);
         },
         onMessage: (link, message) => this.receive(link, message),
-        onLinkLost: link => this.endCrashList(link),
+        onLinkLost: link => {
+          this.endCrashList(link);
+          this.lastDemands.delete(link);
+        },
       },
       faults,
     );
@@ -168,7 +173,12 @@
 
   /** Relays store changes to the other gateways. */
   relay(message: StoreChangesMessage): void {
-    if (this.isRelay) this.mesh.broadcast(message);
+    if (!this.isRelay) return;
+    const nowMs = this.ctx.clock.monotonicMs();
+    for (const [link, {sentMs, receivedMs}] of this.lastDemands) {
+      link.send({type: 'time_echo', sentMs, heldMs: Math.max(0, nowMs - receivedMs)});
+    }
+    this.mesh.broadcast(message);
   }
 
   /** Reports requests that crash replicas to the other gateways, by way of the planner. */
@@ -238,6 +248,10 @@
     switch (message.type) {
       case 'model_demand':
         this.planner.recordDemand(link.peer?.id ?? '', message);
+        if (message.sentMs !== undefined) {
+          const receivedMs = this.ctx.clock.monotonicMs();
+          this.lastDemands.set(link, {sentMs: message.sentMs, receivedMs});
+        }
         return;
       case 'crash_news':
         this.ctx.onCrashNews(message);
--- a/apps/gateway/src/lib/store_watcher.ts
+++ b/apps/gateway/src/lib/store_watcher.ts
@@ -43,6 +43,8 @@
   private connected = false;
   private hasEverResponded = false;
   private lastContactMs = performance.now();
+  /** Time as of which the revision is known: that of the request, as a response may have waited. */
+  private asOfMs = performance.now();
   private lostLoggedMs = Number.NEGATIVE_INFINITY;
 
   constructor(
@@ -76,9 +78,9 @@
     return this.receiving;
   }
 
-  /** Time since the last response or relayed message, with or without changes. */
+  /** Age of what is known: time since the request that it was read with, here or elsewhere. */
   get contactAgeMs(): number {
-    return performance.now() - this.lastContactMs;
+    return performance.now() - this.asOfMs;
   }
 
   start(): void {
@@ -104,6 +106,7 @@
   /**
    * Applies changes after `since` up to `revision` that another gateway has relayed.
    *
+   * @param asOfMs - Time as of which the revision was the newest.
    * @returns The changes that are new here; undefined when earlier ones may be missing.
    */
   applyRelayed(
@@ -111,12 +114,14 @@
     since: number,
     revision: number,
     changes: readonly StoreChange[],
+    asOfMs: number,
   ): readonly StoreChange[] | undefined {
     if (era > this.knownEra && this.knownRevision >= 0) this.resync();
     if (era !== this.knownEra || this.knownRevision < 0 || since > this.knownRevision) {
       return undefined;
     }
     this.lastContactMs = performance.now();
+    this.asOfMs = Math.max(this.asOfMs, asOfMs);
     return this.advance(revision, changes);
   }
 
@@ -144,11 +149,12 @@
   }
 
   private async readAll(): Promise<void> {
+    const sentMs = performance.now();
     const found = this.hasEverResponded
       ? await this.range(this.call.signal)
       : await this.readFirst();
     const isRestored = this.hasEverResponded && found.era !== this.knownEra;
-    this.onResponse();
+    this.onResponse(sentMs);
     this.knownRevision = found.revision;
     this.knownEra = found.era;
     this.events.onSnapshot(found, isRestored);
@@ -194,6 +200,7 @@
   private async watch(timeoutMs: number): Promise<void> {
     const {signal} = this.call;
     const position = {era: this.knownEra, revision: this.knownRevision};
+    const sentMs = performance.now();
     let found: StoreChanges | undefined;
     try {
       const onBegun = () => (this.receiving = true);
@@ -205,7 +212,7 @@
     }
     this.receiving = false;
     if (this.abort.signal.aborted) return;
-    this.onResponse();
+    this.onResponse(sentMs);
     // Meanwhile another call has shown that all keys must be read again.
     if (this.knownRevision < 0) return;
     if (found === undefined) {
@@ -224,9 +231,12 @@
     return newChanges;
   }
 
-  private onResponse(): void {
-    const {failures, contactAgeMs: outageMs} = this;
-    this.lastContactMs = performance.now();
+  private onResponse(sentMs: number): void {
+    const {failures} = this;
+    const nowMs = performance.now();
+    const outageMs = nowMs - this.lastContactMs;
+    this.lastContactMs = nowMs;
+    this.asOfMs = Math.max(this.asOfMs, sentMs);
     if (this.connected) return;
     this.connected = true;
     const wasLost = this.hasEverResponded;
@@ -245,7 +255,7 @@
         error: errorMessage(thrown),
         failures: this.failures,
         revision: this.knownRevision,
-        unheardMs: Math.round(this.contactAgeMs),
+        unheardMs: Math.round(nowMs - this.lastContactMs),
       });
     }
     this.connected = false;
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -241,7 +241,7 @@
     limitNews: () => limits.news(),
     onLimitNews: message => limits.onNews(message),
     onPermits: message => limits.onGrant(message),
-    onStoreChanges: message => fleetWatcher.applyRelayed(message),
+    onStoreChanges: (message, asOfMs) => fleetWatcher.applyRelayed(message, asOfMs),
   });
   const fleetWatcher: FleetWatcher = new FleetWatcher(store, log, instance.heartbeatIntervalMs, {
     onConfig: (text, point) => activeConfig.apply(text, point),
--- a/features/steps/relayed_change_steps.ts
+++ b/features/steps/relayed_change_steps.ts
@@ -1,6 +1,7 @@
 /** Steps about messages between the planner's gateway and the others. */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {checkRelayedAge, relayLate, watchSlowly} from '../support/known_age.ts';
 import {checkByteRate, checkEvidence} from '../support/report_queue_history.ts';
 import {floodReports, type ReportFlood} from '../support/report_flood.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -48,6 +49,31 @@
   },
 );
 
+Then('every gateway knows how old the relayed changes are', function (this: FleetWorld) {
+  assert.ok(floods.get(this)!.areAllDated, 'changes arrived without an echo');
+});
+
+Then(
+  'a gateway to which changes of {int} ms before are relayed knows of a leaving replica within {int} ms',
+  async (ageMs: number, maxMs: number) => {
+    const tookMs = await relayLate(ageMs, maxMs);
+    assert.ok(tookMs <= maxMs, `after ${tookMs} ms`);
+  },
+);
+
+Then(
+  'what a gateway knows is at least {int} ms old after a response that took {int} ms',
+  async (minAgeMs: number, responseMs: number) => {
+    const ageMs = await watchSlowly(responseMs);
+    // A timer may fire up to a millisecond early.
+    assert.ok(ageMs >= minAgeMs - 1, `${ageMs} ms`);
+  },
+);
+
+Then('in {int} random cases relayed changes never look fresher than they are', (runs: number) =>
+  checkRelayedAge(runs),
+);
+
 Then(
   'in {int} random series a receiver of queued reports decides as one that gets each at once',
   (runs: number) => checkEvidence(runs),
--- a/features/support/report_flood.ts
+++ b/features/support/report_flood.ts
@@ -35,6 +35,8 @@
   readonly slowestRelayMs: number;
   /** Time from the last crash until every gateway holds the crashing part; infinite if not. */
   readonly heldAfterMs: number;
+  /** True when every gateway could date the last changes that it received. */
+  readonly areAllDated: boolean;
 }
 
 interface Node {
@@ -45,6 +47,7 @@
   receivedBytes: number;
   slowestRelayMs: number;
   lastWrite: number;
+  isDated: boolean;
 }
 
 export async function floodReports(
@@ -112,6 +115,7 @@
       ? Number.POSITIVE_INFINITY
       : Math.max(...others.map(node => node.slowestRelayMs)),
     heldAfterMs,
+    areAllDated: others.every(({isDated}) => isDated),
   };
 }
 
@@ -183,7 +187,8 @@
     limitNews: () => ({type: 'limit_news', limits: []}),
     onLimitNews: () => undefined,
     onPermits: () => undefined,
-    onStoreChanges: message => {
+    onStoreChanges: (message, asOfMs) => {
+      node.isDated = Number.isFinite(asOfMs) && asOfMs <= performance.now();
       node.receivedBytes += encodeFrame(message).length;
       for (const {key, value} of message.changes) {
         if (key !== REPLICA_KEY) continue;
@@ -201,6 +206,7 @@
     receivedBytes: 0,
     slowestRelayMs: 0,
     lastWrite: 0,
+    isDated: false,
   };
   return node;
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -26,9 +26,9 @@
   type PlacementMessage,
   type StartMessage,
   type StatusMessage,
-  type StoreChangesMessage,
   type SuspectMessage,
 } from './lib/messages.ts';
+export type {StoreChangesMessage} from './lib/store_messages.ts';
 export {MeshLink, type LinkCloseReason} from './lib/mesh_link.ts';
 export {MeshServer, type MeshServerEvents} from './lib/mesh_server.ts';
 export {MeshClient, type MeshClientEvents} from './lib/mesh_client.ts';
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -10,6 +10,7 @@
 } from '@jasminepost/core';
 import {crashNews} from './crash_news.ts';
 import {limitNews, permitAsk, permitGrant} from './limit_messages.ts';
+import {storeChanges, timeEcho} from './store_messages.ts';
 
 const MAX_NAME = 256;
 const name = z.string().min(1).max(MAX_NAME);
@@ -219,25 +220,6 @@
   nextMs: count,
 });
 
-/** Changes that the planner's gateway has read from the store, for gateways that don't read it. */
-const storeChanges = z.object({
-  type: z.literal('store_changes'),
-  /** Store era; revisions are comparable only within one era. */
-  era: count,
-  /** Revision after which the changes were made. */
-  since: count,
-  revision: count,
-  /** True while entries that expired during an outage may still reappear. */
-  settling: z.boolean(),
-  /** Gateways linked to the planner's, including itself. */
-  gateways: count,
-  /** Revision of the newest configuration, whose document is read from the store. */
-  configRevision: count.default(0),
-  changes: z
-    .array(z.object({key: name, revision: count, value: z.string().optional()}))
-    .max(65_536),
-});
-
 /** Subscribes to frequent load reports, as the gateway sends requests to the steward's replica. */
 const loadInterest = z.object({
   type: z.literal('load_interest'),
@@ -274,6 +256,8 @@
 /** Demand for models at one gateway since its last message to the planner. */
 const modelDemand = z.object({
   type: z.literal('model_demand'),
+  /** Time of sending on the gateway's monotonic clock, returned in `time_echo`. */
+  sentMs: z.number().optional(),
   models: z
     .array(z.object({name, requests: count, urgent: count, prefillMs: count, waiting: count}))
     .max(4096),
@@ -308,6 +292,7 @@
   replicaIdentity,
   adapterWish,
   storeChanges,
+  timeEcho,
   loadInterest,
   placement,
   modelDemand,
@@ -335,8 +320,6 @@
 /** @public */
 export type DemandMessage = z.infer<typeof demand>;
 /** @public */
-export type StoreChangesMessage = z.infer<typeof storeChanges>;
-/** @public */
 export type SuspectMessage = z.infer<typeof suspect>;
 /** @public */
 export type StartMessage = z.infer<typeof start>;
