--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -119,6 +119,7 @@
     log,
     self: instance.id,
     announce: message => planner.announceCrashes(message),
+    isRelay: () => planner.isRelay,
     isPlannerReachable: () => planner.isRelay || fleetWatcher.isRelayed,
     list: () => crashes.list(),
     applyNews: message => crashes.applyNews(message),
@@ -234,13 +235,14 @@
     isLinked: replica => stewardLinks.isLinked(replica),
     sendPlacement: (replica, message) => stewardLinks.sendPlacement(replica, message),
     onMove: move => metrics.placements.increment(move.source),
+    gateways,
     collectDemand: () => demand.collect(generations.waitingByModel()),
     crashNews: () => crashes.list(),
-    onCrashNews: message => crashes.applyNews(message),
+    onCrashNews: message => crashNewsSync.onNews(message),
     limitNews: () => limits.news(),
     onLimitNews: message => limits.onNews(message),
     onPermits: message => limits.onGrant(message),
-    onStoreChanges: message => fleetWatcher.applyRelayed(message),
+    onStoreChanges: (message, asOfMs) => fleetWatcher.applyRelayed(message, asOfMs),
   });
   const fleetWatcher: FleetWatcher = new FleetWatcher(store, log, instance.heartbeatIntervalMs, {
     onConfig: (text, point) => activeConfig.apply(text, point),
@@ -250,6 +252,7 @@
       planner.onStoreChange(change);
       crashNewsSync.applyChange(change);
       defaultVersions.applyChange(change);
+      return !crashNewsSync.isReport(change);
     },
     isRelay: () => planner.isRelay,
     relay: message => planner.relay(message),
