--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -52,8 +52,6 @@
 
   private readonly deadlineMs: number;
   private sendCount = 0;
-  /** Sends that ended before a byte was written, since the replica was another one by then. */
-  private replacedSends = 0;
   /** Failed attempts in which a replica may have run the request. */
   private runs = 0;
   private exchange: RequestHandle | undefined;
@@ -113,7 +111,8 @@
 
   start(): void {
     const {clock} = this.ctx;
-    this.timer = setTimeout(() => this.onDeadline(), this.deadlineMs - clock.monotonicMs());
+    const leftMs = this.deadlineMs - clock.monotonicMs();
+    this.timer = setTimeout(() => this.giveUp('deadline_passed', 0), leftMs);
     onCallerDisconnect(this.res, () => this.onCallerGone());
     this.ctx.retryBudget(this.service).countFirstAttempt(clock.monotonicMs());
     if (this.versionGate.isResumed) void this.submitResumed();
@@ -308,7 +307,8 @@
     const {verdict} = failure;
     metrics.attemptFailures.increment(verdict.reason);
     if (verdict.kind === 'may_have_run') this.runs += 1;
-    if (verdict.reason === 'replaced') this.replacedSends += 1;
+    // Nothing was sent, and the replica is not found again.
+    if (verdict.reason === 'replaced') this.sendCount -= 1;
     const isNotRun = verdict.kind === 'not_run';
     const decision = decideRetry({
       verdict,
@@ -316,7 +316,7 @@
       answerStarted: this.relay.headSent,
       resumable: this.route.resumable,
       remainingMs: this.deadlineMs - nowMs - MIN_SERVICE_MS,
-      attempts: isNotRun ? this.sendCount - this.replacedSends : this.runs,
+      attempts: isNotRun ? this.sendCount : this.runs,
       maxAttempts: isNotRun ? MAX_NOT_RUN_SENDS : this.route.maxAttempts,
       takeToken: () => this.ctx.retryBudget(this.service).tryRetry(this.ctx.gateways(), nowMs),
     });
@@ -331,10 +331,6 @@
     else this.fail(502, verdict.reason, {detail: failure.detail});
   }
 
-  private onDeadline(): void {
-    this.giveUp('deadline_passed', 0);
-  }
-
   /** Ends an unfinished request with a response while there still is time to send one. */
   giveUp(reason: string, retryAfterMs: number): void {
     if (this.finished) return;
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -9,6 +9,7 @@
   writeEndless,
   type EndlessResponse,
 } from './endless_response.ts';
+import {sendReport} from './replica_report.ts';
 import {streamEvents, writeStreamHead, type StreamFault} from './replica_stream.ts';
 import type {RepeatedRefusal} from './repeated_refusal.ts';
 import {sharedParts, type RecordedRequest} from './recorded_request.ts';
@@ -212,7 +213,7 @@
       writeEndless(req.socket, this.endlessReport, 'HTTP/1.1 200 OK\r\n', REPORT_BYTES_PER_MS);
       return;
     }
-    if (req.url === '/-/report') return this.sendReport(req, res);
+    if (req.url === '/-/report') return this.sendReport(res);
     if (req.url === '/-/order') return this.handleOrder(JSON.parse(body) as Order, req, res);
     this.arrivalsMs.push(performance.now());
     if (this.tryRefuse(req, res)) return;
@@ -340,26 +341,10 @@
     }
   }
 
-  private sendReport({socket}: IncomingMessage, res: ServerResponse): void {
-    const report = {
-      stage: 'unified',
-      born: this.born,
-      models: this.loadedModels(),
-      busy: this.busy,
-      sequence: this.sequence,
-      queueDepth: 0,
-      activeRequests: 0,
-      kvUsed: 0,
-      kvTotal: 100_000,
-      handles: 0,
-      incoming: [...this.loadingAdapters],
-      available: {inMemory: [], onDisk: [...this.onDisk]},
-      runs: [],
-    };
-    if (this.bytesAfterReport === '') return sendJson(res, 200, report);
-    const body = JSON.stringify(report);
-    const head = `HTTP/1.1 200 OK\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n`;
-    socket.write(head + body + this.bytesAfterReport);
+  private sendReport(res: ServerResponse): void {
+    const {born, busy, sequence, loadingAdapters, onDisk} = this;
+    const models = this.loadedModels();
+    sendReport(res, {born, models, busy, sequence, loadingAdapters, onDisk}, this.bytesAfterReport);
   }
 
   private handleOrder(order: Order, req: IncomingMessage, res: ServerResponse): void {
