--- a/features/steps/stream_version_steps.ts
+++ b/features/steps/stream_version_steps.ts
@@ -184,6 +184,14 @@
   },
 );
 
+When('the second gateway stands still', function (this: FleetWorld) {
+  usersScenario(this).fleet.gateways[1].process.signal('SIGSTOP');
+});
+
+When('the second gateway goes on', function (this: FleetWorld) {
+  usersScenario(this).fleet.gateways[1].process.signal('SIGCONT');
+});
+
 When(
   /^(\d+) engines restart with version (v\d) while the first gateway stands still$/,
   {timeout: 20_000},
@@ -311,6 +319,15 @@
   },
 );
 
+When('the first gateway is killed', async function (this: FleetWorld) {
+  await usersScenario(this).fleet.gateways[0].process.kill();
+});
+
+Then('streams of v2 have begun', function (this: FleetWorld) {
+  const {answers} = usersScenario(this);
+  assert.ok(answers.some(({body}) => body.includes('data: v2 piece 1\n')));
+});
+
 Then('no stream has events of two versions', function (this: FleetWorld) {
   const {answers} = usersScenario(this);
   for (const {body} of answers) {
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -114,6 +114,20 @@
       | no stream                    |               | refused |
       | a stream that has no record  | an-unknown-id | served  |
 
+  # Reported by another operator: such streams went on at the version that the gateway had known before.
+  Scenario: a gateway that stood still while engines of a new version joined keeps the streams at them
+    Given a users' fleet of 0 service replicas, 2 engines and 2 gateway
+    When 4 long drafts run at the first gateway
+    And the second gateway stands still
+    And 2 engines of version v2 are added
+    And 12 long drafts run at the first gateway
+    And the first gateway is killed
+    And the second gateway goes on
+    And their callers resume them at the second gateway
+    Then no stream has events of two versions
+    And streams of v2 have begun
+    And all of the streams are complete
+
   # Streams went on at engines that had restarted as another version under their ids.
   Scenario Outline: streams stay at their version when <replaced> of 4 engines restart as another one <when>
     Given a users' fleet of 0 service replicas, 4 engines and 2 gateway
