--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -89,7 +89,7 @@
     this.onEligibilityChanged();
   }
 
-  /** True when another replica has taken over its address. */
+  /** True when another replica, or a later start of this one, is at its address. */
   get addressReassigned(): boolean {
     return this.isAddressReassigned;
   }
