Let choices wait for a newer list of replicas when it is known to be old

Callers' requests reached replicas that had left seconds before (DRAIN).

Cause: the age of the list decided when a gateway reads the store, and nothing else. Between the moment at which it could know that its list is old and the response to that read, it went on choosing by it: queued requests on the first timer, new ones from the same socket poll that brings the response.

Now both queues hold choices while the list is older than drainMs less the time to a replica, until a newer one is known, for 300 ms at most: without a response by then the store counts as away, in which case it accepts no leaving, and choices go on. No further calls: the read is already under way. The watch that a gateway makes without a relay ends after 700 ms instead of 1,500, since what it knows is dated by the request; with heartbeats it ends earlier in any case.

--- a/apps/gateway/src/lib/fleet_watcher.ts
+++ b/apps/gateway/src/lib/fleet_watcher.ts
@@ -18,12 +18,16 @@
 
 /** Common prefix of the keys of replicas and of the system, but not of the configuration. */
 const FLEET_PREFIX = 's';
-/** Watch timeout; a lost watch is detected after this plus the client's grace period. */
-const WATCH_MS = 1500;
+/**
+ * Watch timeout; a lost watch is detected after this plus the client's grace period. What is known
+ * is dated by the request, so that without changes it grows as old as two watches.
+ */
+const WATCH_MS = 700;
 /** Watch timeout of the relaying gateway, which passes each response on to the others. */
 const RELAY_WATCH_MS = 500;
-/** Timeout of the configuration watch while the planner's gateway reports newer revisions. */
-const CONFIG_WATCH_MS = 10_000;
+/** Timeouts of the configuration watch: alone, and while the planner's gateway reports revisions. */
+const CONFIG_WATCH_MS = 1500;
+const RELAYED_CONFIG_WATCH_MS = 10_000;
 /**
  * A gateway watches the store itself once what is relayed is older. It is normally as old as a
  * watch, a batch delay and the next watch.
@@ -106,7 +110,7 @@
       onSnapshot: found => this.applyConfig(found.changes),
       onChanges: changes => this.applyConfig(changes),
       onReconnect: () => undefined,
-      watchTimeoutMs: () => (this.isRelayed ? CONFIG_WATCH_MS : this.watchTimeoutMs()),
+      watchTimeoutMs: () => this.configWatchTimeoutMs(),
       batchDelayMs: () => MIN_BATCH_DELAY_MS,
     });
     this.disposer.interval(CHECK_INTERVAL_MS, () => this.checkConfigLag());
@@ -261,6 +265,11 @@
     return this.events.isRelay() ? RELAY_WATCH_MS : WATCH_MS;
   }
 
+  private configWatchTimeoutMs(): number {
+    if (this.isRelayed) return RELAYED_CONFIG_WATCH_MS;
+    return this.events.isRelay() ? RELAY_WATCH_MS : CONFIG_WATCH_MS;
+  }
+
   private batchDelayMs(): number {
     if (this.events.isRelay()) return MIN_BATCH_DELAY_MS;
     const delayMs = BATCH_DELAY_MS_PER_GATEWAY * this.events.gateways();
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -43,6 +43,8 @@
   configVersion(): number;
   /** Time since the list of replicas was last known to be current. */
   listAgeMs(): number;
+  /** False while a newer list of replicas is awaited; see `ListAgeLimit`. */
+  mayChooseReplica(): boolean;
   /** True when the connection must end with the response: in a graceful shutdown. */
   endsConnection(req: IncomingMessage): boolean;
   /** True once only requests that have already been sent may finish before the exit. */
--- a/apps/gateway/src/lib/generation_queue.ts
+++ b/apps/gateway/src/lib/generation_queue.ts
@@ -27,6 +27,9 @@
 /** Minimum retry delay under overload: loading another copy of the model from disk takes 2 s. */
 const OVERLOAD_RETRY_AFTER_MS = 1500;
 
+/** Waits that end by themselves, whatever the load of the replicas. */
+const SHORT_WAITS: ReadonlySet<WaitReason> = new Set<WaitReason>(['adapter', 'list_outdated']);
+
 /** A generation as the queue sees it. @internal */
 export interface QueuedGeneration extends QueuedServiceRequest {
   readonly generation: GenerationParams;
@@ -43,6 +46,8 @@
   engineOf(service: string): EngineSpec | undefined;
   /** True once only requests that have already been sent may finish before the exit. */
   isClosing(): boolean;
+  /** False while a newer list of replicas is awaited. */
+  mayChooseReplica(): boolean;
   /** Uses a permit if the replica is rate-limited; false when none is available. */
   tryUsePermit(replica: Replica): boolean;
   /** Subscribes to frequent load reports of a replica that requests are sent to. */
@@ -86,6 +91,10 @@
       return;
     }
     ctx.demand.count(request.service, request.generation, request.isDelayTolerant);
+    if (!ctx.mayChooseReplica()) {
+      this.enqueue(request, 'list_outdated', ctx.clock.monotonicMs());
+      return;
+    }
     const {ahead, aheadAtPriority} = this.countAhead(request);
     const outcome = ahead > 0 ? ctx.selector.waitReasonBehind(request) : this.tryDispatch(request);
     if (outcome === 'sent') return;
@@ -165,6 +174,7 @@
 
   /** Sends, refuses, or keeps each queued request, in the order of the queue. */
   private dispatchWaiting(): void {
+    if (!this.ctx.mayChooseReplica()) return;
     const nowMs = this.ctx.clock.monotonicMs();
     /** Combinations of model and adapter for which no replica can take a request now. */
     const full = new Set<string>();
@@ -257,7 +267,7 @@
 
   /**
    * Counts the queued requests for the same model that are served first. Requests that wait for an
-   * adapter don't count: their wait is short and delays no others.
+   * adapter or for a newer list don't count: their wait is short and delays no others.
    */
   private countAhead(request: QueuedGeneration): {ahead: number; aheadAtPriority: number} {
     const counts = {ahead: 0, aheadAtPriority: 0};
@@ -265,7 +275,7 @@
     if (this.waitingFor(model) === 0) return counts;
     const nowMs = this.ctx.clock.monotonicMs();
     for (const [other, outcome] of this.queued) {
-      if (outcome === 'adapter' || modelKeyOf(other) !== model) continue;
+      if (SHORT_WAITS.has(outcome) || modelKeyOf(other) !== model) continue;
       if (compareQueuedRequests(other, request, nowMs) > 0) continue;
       counts.ahead += 1;
       if (other.priority === request.priority) counts.aheadAtPriority += 1;
--- a/apps/gateway/src/lib/service_queue.ts
+++ b/apps/gateway/src/lib/service_queue.ts
@@ -1,4 +1,7 @@
-/** Queue of requests to plain services, which wait only while all rate limits are used up. */
+/**
+ * Queue of requests to plain services, which wait only while all rate limits are used up or a newer
+ * list of replicas is awaited.
+ */
 import {compareQueuedRequests, queuedRequestState, type QueuedRequest} from '@jasminepost/policy';
 import type {GatewayContext} from './gateway_context.ts';
 import {LEAVING_RETRY_AFTER_MS} from './generation_queue.ts';
@@ -41,6 +44,10 @@
 
   /** Sends a request, queues it for a permit, or refuses it when it can't be served in time. */
   submit(request: QueuedServiceRequest): void {
+    if (!this.context().mayChooseReplica()) {
+      this.enqueue(request);
+      return;
+    }
     const nowMs = this.context().clock.monotonicMs();
     const ahead = [...this.queued].filter(
       other =>
@@ -69,6 +76,7 @@
   }
 
   private dispatchWaiting(): void {
+    if (!this.context().mayChooseReplica()) return;
     const nowMs = this.context().clock.monotonicMs();
     const ordered = [...this.queued].sort((a, b) => compareQueuedRequests(a, b, nowMs));
     const ahead = new Map<string, number>();
@@ -136,6 +144,10 @@
       request.refuse('replicas_limited', retryAfterMs, {listed, ahead, waitMs: Math.round(waitMs)});
       return;
     }
+    this.enqueue(request);
+  }
+
+  private enqueue(request: QueuedServiceRequest): void {
     this.queued.add(request);
     this.recheckTimer ??= setInterval(() => this.dispatchWaiting(), RECHECK_INTERVAL_MS);
   }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -14,7 +14,7 @@
   type Logger,
 } from '@jasminepost/core';
 import {HandshakeAuthenticator, type MemberInfo} from '@jasminepost/mesh';
-import {PriorWaitEstimator, StreamVersions} from '@jasminepost/policy';
+import {ListAgeLimit, PriorWaitEstimator, StreamVersions} from '@jasminepost/policy';
 import {readProcessSettings, StoreClient} from '@jasminepost/platform';
 import {RouteTable} from '@jasminepost/serving';
 import {ActiveConfig} from './lib/active_config.ts';
@@ -99,7 +99,10 @@
       stewardLinks.remove(replica);
       limits.forget(replica);
     },
-    onChanged: () => generations.scheduleDispatch(),
+    onChanged: () => {
+      generations.scheduleDispatch();
+      services.scheduleDispatch();
+    },
   });
   const trialLease = new TrialLease(store, instance.id, instance.minLeaseMs, log);
   const crashes = new CrashDetector({
@@ -140,6 +143,9 @@
     gateways: () => gateways(),
     applyDefault: (service, found) => defaultVersions.applyRange(service, found),
   });
+  const listAgeLimit = new ListAgeLimit(instance.bounds.drainMs);
+  const mayChooseReplica = () =>
+    listAgeLimit.mayChoose(fleetWatcher.contactAgeMs, clock.monotonicMs());
   const estimator = new PrefillEstimator();
   const demand = new DemandMeter(estimator);
   const limits: ReplicaRateLimits = new ReplicaRateLimits({
@@ -173,6 +179,7 @@
     demand,
     engineOf,
     isClosing: () => shutdown.closing,
+    mayChooseReplica,
     tryUsePermit: replica => limits.tryUsePermit(replica),
     renewLoadSubscription: replica => stewardLinks.renewLoadSubscription(replica),
   });
@@ -212,6 +219,7 @@
     gateways,
     configVersion: () => activeConfig.version,
     listAgeMs: () => fleetWatcher.contactAgeMs,
+    mayChooseReplica,
     endsConnection: req => shutdown.draining && !server.isFollowed(req),
     isClosing: () => shutdown.closing,
     isStarting: () => fleetWatcher.isFirstCall && !shutdown.draining,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -22,6 +22,7 @@
   type ReplicaFailure,
 } from './lib/crash_record.ts';
 export {CrashReportQueue, reportBytes, type CrashReport} from './lib/crash_report_queue.ts';
+export {ListAgeLimit} from './lib/list_age_limit.ts';
 export {relayedAsOfMs, type TimeEcho} from './lib/relayed_age.ts';
 export {
   decideQuarantine,
