Check a choice again when a connection for its request is free

A request is sent when a connection is available: after a connect, the replica's report on it and up to three tries (1,300 ms together), or behind a busy connection. What the gateway learned meanwhile changed nothing: a replica that was listed as leaving 100 ms after the choice still got the request (DRAIN, with up to 1,300 ms added to the age of the list). The report on the new connection itself may say that the replica leaves; that was not read at all.

The client now asks whether the request may start just before its first byte is written. If its replica is no longer usable, or the list has become too old, nothing is written, the connection stays open for others and the request goes to another replica: as not run, without a token of the retry budget and without an attempt, since no replica saw it. The header of the report marks the replica as leaving.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -22,6 +22,7 @@
 import {Attempt} from './attempt.ts';
 import {isFromOtherReplica, recordFirstEvent, recordResponseHead} from './response_head.ts';
 import {RequestLog} from './request_log.ts';
+import {notSent, outgoingRequest} from './outgoing_request.ts';
 import {MIN_SERVICE_MS, scheduleRequest} from './request_schedule.ts';
 import {StreamVersionGate} from './stream_version_gate.ts';
 import {CrashGate} from './crash_gate.ts';
@@ -132,16 +133,13 @@
     this.log.sent(attempt, this.sendCount, this.deadlineMs, logFields);
     const isCurrent = () => attempt.isLive && !this.finished;
     this.exchange = replica.client.send(
-      {
+      outgoingRequest(this.ctx, replica, {
         ...this.content,
         rawHeaders: this.req.rawHeaders,
-        systemHeaders: {
-          deadlineMs: this.deadlineMs - nowMs,
-          replicaId: replica.id,
-          urgency: this.head.generation === undefined ? undefined : enginePriority(this),
-          lastEventId: this.relay.lastEventId,
-        },
-      },
+        leftMs: this.deadlineMs - nowMs,
+        urgency: this.head.generation === undefined ? undefined : enginePriority(this),
+        lastEventId: this.relay.lastEventId,
+      }),
       {
         onHead: head => {
           if (isCurrent()) this.onHead(head);
@@ -153,9 +151,10 @@
         onError: (error, neverSent) => {
           if (!isCurrent()) return;
           if (!neverSent) this.crashGate.onCut(replica, nowMs);
-          const connectFault = replica.hasEnded ? 'replaced' : 'connect_failed';
-          const verdict = neverSent ? notRun(connectFault) : mayHaveRun('upstream_cut');
-          this.onAttemptFailed({verdict, detail: errorMessage(error)}, true);
+          const verdict = neverSent ? notSent(error, replica) : mayHaveRun('upstream_cut');
+          const isNotStarted = verdict.reason === 'not_started';
+          if (isNotStarted) replica.recordEvent({kind: 'given_up'}, clock.monotonicMs());
+          this.onAttemptFailed({verdict, detail: errorMessage(error)}, !isNotStarted);
         },
       },
     );
@@ -303,12 +302,13 @@
     const nowMs = clock.monotonicMs();
     if (countsAgainstReplica) replica.recordEvent({kind: 'failed'}, nowMs);
     this.endAttempt();
-    this.excluded.add(replica.incarnation);
     const {verdict} = failure;
+    // The list decides whether a replica is found again of which it was not known to be usable.
+    if (verdict.reason !== 'not_started') this.excluded.add(replica.incarnation);
     metrics.attemptFailures.increment(verdict.reason);
     if (verdict.kind === 'may_have_run') this.runs += 1;
-    // Nothing was sent, and the replica is not found again.
-    if (verdict.reason === 'replaced') this.sendCount -= 1;
+    // Nothing was sent.
+    if (verdict.reason === 'replaced' || verdict.reason === 'not_started') this.sendCount -= 1;
     const isNotRun = verdict.kind === 'not_run';
     const decision = decideRetry({
       verdict,
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -167,6 +167,7 @@
     const client = new ReplicaClient(entry.address, maxConnections, {
       bornMs: () => this.reportedStartOf(entry),
       onOther: bornMs => this.onOtherIncarnation(replica, bornMs),
+      onLeaving: () => this.onSaidLeaving(replica),
     });
     const learned = this.gone.take(incarnationId(entry));
     const replica = new Replica(entry, client, learned, () => (this.usableByModel = undefined));
@@ -204,6 +205,13 @@
     this.events.onChanged();
   }
 
+  /** A new connection may show that a replica leaves before the list does. */
+  private onSaidLeaving(replica: Replica): void {
+    if (!replica.recordEvent({kind: 'said_leaving'}, this.clock.monotonicMs())) return;
+    this.log.info('replica is leaving', {replica: replica.id, inFlight: replica.inFlight});
+    this.events.onChanged();
+  }
+
   /** Of two entries with the same address, the replica started last is the one at that address. */
   private resolveAddressConflict(replica: Replica): void {
     for (const other of this.replicas.values()) {
--- a/features/stale_lists.feature
+++ b/features/stale_lists.feature
@@ -13,3 +13,30 @@
       | orders | service replica | another gateway       |
       | drafts | engine          | the planner's gateway |
       | drafts | engine          | another gateway       |
+
+  # A request chose its replica, and was sent when a connection was free, whatever was known by then.
+  Scenario Outline: a request that waits for <awaited> isn't sent once its replica is not to be used
+    When a request waits for <awaited>, and its replica is no longer to be used
+    Then the request ends as not started, and only "<paths>" reach the replica on one connection
+
+    Examples:
+      | awaited                   | paths        |
+      | the response before it    | /a /c        |
+      | the report of its replica | /-/report /c |
+
+  # The same, up to the caller's answer.
+  Scenario: requests that wait for the report of a replica go elsewhere when it leaves
+    Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
+    And the stewards stand still
+    And the engines take 400 ms for a report
+    When 4 drafts are sent, and the first engine leaves 100 ms later
+    Then none of them reached a replica that had left
+    And every answer is whole
+
+  # The report on a new connection said that the replica leaves, and the request was sent on it.
+  Scenario: a replica whose report says that it leaves gets no first request
+    Given a users' fleet of 0 service replicas, 2 engines and 1 gateway
+    And the stewards stand still
+    When the first engine reports leaving, and 12 drafts are sent
+    Then none of them reached a replica that had left
+    And every answer is whole
--- a/features/steps/cut_call_steps.ts
+++ b/features/steps/cut_call_steps.ts
@@ -59,7 +59,7 @@
 };
 
 const identify: Call = ({host, port}) => {
-  const expected = {bornMs: () => BORN_MS, onOther: () => undefined};
+  const expected = {bornMs: () => BORN_MS, onOther: () => undefined, onLeaving: () => undefined};
   const connect = identifiedConnector(buildConnector({}), {host, port}, expected, TIMEOUT_MS);
   return new Promise(resolve => {
     connect({hostname: host, port: String(port), protocol: 'http:'}, (error, socket) => {
--- a/features/steps/stale_list_steps.ts
+++ b/features/steps/stale_list_steps.ts
@@ -1,11 +1,22 @@
 /** Steps about gateways whose list of replicas is old. */
 import assert from 'node:assert/strict';
-import {Then, When} from '@cucumber/cucumber';
-import {requestAfterStall, type StalledGatewayResult} from '../support/stalled_gateway.ts';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {sleep} from '@jasminepost/core';
+import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {requestAfterStall} from '../support/stalled_gateway.ts';
 import {usersScenario} from '../support/users_scenario.ts';
+import {
+  waitInVain,
+  type AwaitedEvent,
+  type WaitingRequestResult,
+} from '../support/waiting_requests.ts';
 import type {FleetWorld} from '../support/world.ts';
 
-const stalls = new WeakMap<FleetWorld, StalledGatewayResult>();
+/** Time in which the first connections are being opened. */
+const CONNECT_MS = 20;
+
+const leavingReplicas = new WeakMap<FleetWorld, UsersReplica>();
+const waits = new WeakMap<FleetWorld, WaitingRequestResult>();
 
 When(
   /^the first (service replica|engine) leaves while (the planner's|another) gateway stands still for (\d+) ms, and (\d+) (orders|drafts) follow$/,
@@ -24,20 +35,62 @@
     const gateway = which === 'another' ? (planner + 1) % fleet.gateways.length : planner;
     const leaving = kind === 'engine' ? fleet.engines[0] : fleet.services[0];
     const path = what === 'orders' ? '/order/7' : '/draft/7';
-    const result = await requestAfterStall(
+    state.answers = await requestAfterStall(
       fleet,
       gateway,
-      [leaving],
+      leaving,
       path,
       Number(count),
       Number(stallMs),
     );
-    stalls.set(this, result);
-    state.answers = [...result.responses];
+    leavingReplicas.set(this, leaving);
+  },
+);
+
+Given('the engines take {int} ms for a report', function (this: FleetWorld, delayMs: number) {
+  for (const engine of usersScenario(this).fleet.engines) engine.reportDelayMs = delayMs;
+});
+
+When(
+  '{int} drafts are sent, and the first engine leaves {int} ms later',
+  async function (this: FleetWorld, count: number, delayMs: number) {
+    const state = usersScenario(this);
+    const [leaving] = state.fleet.engines;
+    const calls = Array.from({length: count}, () => state.fleet.call({path: '/draft/7'}));
+    await sleep(CONNECT_MS + delayMs);
+    state.fleet.register(leaving, 'draining');
+    state.answers = await Promise.all(calls);
+    leavingReplicas.set(this, leaving);
+  },
+);
+
+When(
+  'the first engine reports leaving, and {int} drafts are sent',
+  async function (this: FleetWorld, count: number) {
+    const state = usersScenario(this);
+    const [leaving] = state.fleet.engines;
+    leaving.reportsLeaving = true;
+    const calls = Array.from({length: count}, () => state.fleet.call({path: '/draft/7'}));
+    state.answers = await Promise.all(calls);
+    leavingReplicas.set(this, leaving);
+  },
+);
+
+When(
+  /^a request waits for (.+), and its replica is no longer to be used$/,
+  async function (this: FleetWorld, awaited: AwaitedEvent) {
+    waits.set(this, await waitInVain(awaited));
+  },
+);
+
+Then(
+  'the request ends as not started, and only {string} reach the replica on one connection',
+  function (this: FleetWorld, paths: string) {
+    const result = waits.get(this)!;
+    assert.deepEqual(result, {endedNotStarted: true, paths: paths.split(' '), connections: 1});
   },
 );
 
 Then('none of them reached a replica that had left', function (this: FleetWorld) {
-  const {arrivalsAtLeft} = stalls.get(this)!;
-  assert.equal(arrivalsAtLeft, 0);
+  assert.equal(leavingReplicas.get(this)!.arrivalsMs.length, 0);
 });
--- a/packages/core/src/lib/verdict.ts
+++ b/packages/core/src/lib/verdict.ts
@@ -10,6 +10,7 @@
   'leaving',
   'model_not_ready',
   'no_replica',
+  'not_started',
   'not_written',
   'organisation_limit',
   'queue_full',
--- a/packages/policy/src/lib/retry.ts
+++ b/packages/policy/src/lib/retry.ts
@@ -18,9 +18,13 @@
 /**
  * Refusals for which another replica costs nothing. Redirects have their own limit; if they took
  * tokens, a lack of tokens would fail the request. A replica found to be another one by now has
- * received nothing, and is found only once.
+ * received nothing, and is found only once. A request that was not started has reached nobody.
  */
-const FREE_REFUSALS: ReadonlySet<NotRunReason> = new Set<NotRunReason>(['redirected', 'replaced']);
+const FREE_REFUSALS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+  'not_started',
+  'redirected',
+  'replaced',
+]);
 
 /** Stops by the system itself; the request is continued, so this is no retry of a failure. */
 const SYSTEM_STOPS: ReadonlySet<MayHaveRunReason> = new Set<MayHaveRunReason>([
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -62,6 +62,8 @@
   /** Time from a request to its response. */
   workMs = 5;
   loadMs = 60;
+  /** Time from a request for a report to the report. */
+  reportDelayMs = 0;
   /** Interval between two events of a stream. */
   eventMs = 15;
   /** How every response, or every report, continues without end; undefined for normal ones. */
@@ -213,7 +215,10 @@
       writeEndless(req.socket, this.endlessReport, 'HTTP/1.1 200 OK\r\n', REPORT_BYTES_PER_MS);
       return;
     }
-    if (req.url === '/-/report') return this.sendReport(res);
+    if (req.url === '/-/report') {
+      if (this.reportDelayMs > 0) await sleep(this.reportDelayMs);
+      return this.sendReport(res);
+    }
     if (req.url === '/-/order') return this.handleOrder(JSON.parse(body) as Order, req, res);
     this.arrivalsMs.push(performance.now());
     if (this.tryRefuse(req, res)) return;
