Read what arrived during a stall before timeouts end it

Cause: timers run before sockets are polled. After a stall each timeout is over, while the response waits in the receive buffer.

A timeout for something that arrives over a socket now fires one poll later, and a silent peer is cut off only if that poll brings nothing from it.

--- a/features/stale_lists.feature
+++ b/features/stale_lists.feature
@@ -40,3 +40,13 @@
     When the first engine reports leaving, and 12 drafts are sent
     Then none of them reached a replica that had left
     And every answer is whole
+
+  # After a stall, timeouts fired before the responses that had arrived were read.
+  Scenario Outline: <what> that arrived while the process stood still is read
+    Then <what> that arrived while the process stood still beyond its timeout is accepted
+
+    Examples:
+      | what                |
+      | a store response    |
+      | a replica's report  |
+      | a message of a peer |
--- a/features/steps/stale_list_steps.ts
+++ b/features/steps/stale_list_steps.ts
@@ -4,6 +4,7 @@
 import {sleep} from '@jasminepost/core';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
 import {requestAfterStall} from '../support/stalled_gateway.ts';
+import {acceptsAfterStall, type StalledCall} from '../support/stalled_process.ts';
 import {usersScenario} from '../support/users_scenario.ts';
 import {
   waitInVain,
@@ -94,3 +95,10 @@
 Then('none of them reached a replica that had left', function (this: FleetWorld) {
   assert.equal(leavingReplicas.get(this)!.arrivalsMs.length, 0);
 });
+
+Then(
+  /^(.+) that arrived while the process stood still beyond its timeout is accepted$/,
+  async (what: StalledCall) => {
+    assert.ok(await acceptsAfterStall(what), 'it was taken for lost');
+  },
+);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export {createLogger, type Logger} from './lib/logger.ts';
 export {CounterFamily, Gauge, Histogram, MetricRegistry} from './lib/metrics.ts';
 export {runProgram} from './lib/program.ts';
+export {PolledTimeout} from './lib/polled_timeout.ts';
 export {RepeatingTask} from './lib/repeating_task.ts';
 export {err, ok, type Result} from './lib/result.ts';
 export {parseBoundedInteger, parseHostPort, type HostPort} from './lib/settings.ts';
--- a/packages/key_value/src/lib/response_timeout.ts
+++ b/packages/key_value/src/lib/response_timeout.ts
@@ -1,4 +1,5 @@
 /** Timeouts for a response whose length is not known in advance. */
+import {PolledTimeout} from '@jasminepost/core';
 
 /** Longest pause within a response body. */
 const BODY_PAUSE_TIMEOUT_MS = 1000;
@@ -19,8 +20,8 @@
   private readonly controller = new AbortController();
   private readonly startedAtMs = performance.now();
   private bytes = 0;
-  private timer: NodeJS.Timeout;
-  private bodyTimer: NodeJS.Timeout | undefined;
+  private timer: PolledTimeout;
+  private bodyTimer: PolledTimeout | undefined;
   private readonly onAbort = () => this.controller.abort(this.callerSignal?.reason);
 
   constructor(
@@ -45,7 +46,7 @@
   }
 
   onHeaders(): void {
-    clearTimeout(this.timer);
+    this.timer.clear();
     this.timer = this.abortAfter(
       BODY_PAUSE_TIMEOUT_MS,
       `no further data within ${BODY_PAUSE_TIMEOUT_MS} ms`,
@@ -62,12 +63,12 @@
   }
 
   dispose(): void {
-    clearTimeout(this.timer);
-    clearTimeout(this.bodyTimer);
+    this.timer.clear();
+    this.bodyTimer?.clear();
     this.callerSignal?.removeEventListener('abort', this.onAbort);
   }
 
-  private abortAfter(delayMs: number, reason: string): NodeJS.Timeout {
-    return setTimeout(() => this.controller.abort(new Error(reason)), delayMs);
+  private abortAfter(delayMs: number, reason: string): PolledTimeout {
+    return new PolledTimeout(delayMs, () => this.controller.abort(new Error(reason)));
   }
 }
--- a/packages/mesh/src/lib/mesh_client.ts
+++ b/packages/mesh/src/lib/mesh_client.ts
@@ -1,6 +1,6 @@
 /** Maintains a link to one peer, reconnecting with backoff and jitter. */
 import {connect} from 'node:net';
-import {backoffMs, type CounterFamily, type HostPort} from '@jasminepost/core';
+import {backoffMs, PolledTimeout, type CounterFamily, type HostPort} from '@jasminepost/core';
 import type {HandshakeAuthenticator} from './handshake_authenticator.ts';
 import {MeshLink, type LinkCloseReason} from './mesh_link.ts';
 import type {MemberInfo, MeshMessage} from './messages.ts';
@@ -50,11 +50,11 @@
     const socket = connect({host: this.address.host, port: this.address.port});
     const link = new MeshLink(socket);
     const nonce = this.authenticator.createNonce();
-    const timer = setTimeout(() => link.cut('hello_timeout'), CONNECT_TIMEOUT_MS);
+    const timeout = new PolledTimeout(CONNECT_TIMEOUT_MS, () => link.cut('hello_timeout'));
     link.setHandlers({
-      onMessage: message => this.handshake(link, nonce, message, timer),
+      onMessage: message => this.handshake(link, nonce, message, timeout),
       onClose: reason => {
-        clearTimeout(timer);
+        timeout.clear();
         this.scheduleReconnect(reason === 'socket_error' ? 'connect_failed' : reason);
       },
     });
@@ -64,7 +64,7 @@
     link: MeshLink,
     nonce: string,
     message: MeshMessage,
-    timer: NodeJS.Timeout,
+    timeout: PolledTimeout,
   ): void {
     if (message.type === 'challenge') {
       const proof = this.authenticator.createProof(this.self, message.nonce, 'client');
@@ -78,7 +78,7 @@
       link.cut('hello_refused');
       return;
     }
-    clearTimeout(timer);
+    timeout.clear();
     this.open(link, message.member);
   }
 
@@ -116,7 +116,11 @@
     const isAwaitingReply = this.events.isAwaitingReply(this);
     const timeoutMs = isAwaitingReply ? 2 * PING_AFTER_MS : this.silenceTimeoutMs;
     if (silentMs > timeoutMs) {
-      link.cut('silent');
+      const {lastReceivedMs} = link;
+      // After this process has stood still, what the peer sent meanwhile is read only then.
+      setImmediate(() => {
+        if (link.lastReceivedMs === lastReceivedMs) link.cut('silent');
+      });
     } else if (silentMs > (isAwaitingReply ? PING_AFTER_MS : timeoutMs / 2)) {
       link.send({type: 'ping'});
     }
--- a/packages/mesh/src/lib/mesh_server.ts
+++ b/packages/mesh/src/lib/mesh_server.ts
@@ -1,6 +1,6 @@
 /** Accepts links from other processes and authenticates them. */
 import {createServer, type Server, type Socket} from 'node:net';
-import {listenOn, type CounterFamily, type HostPort} from '@jasminepost/core';
+import {listenOn, PolledTimeout, type CounterFamily, type HostPort} from '@jasminepost/core';
 import {encodeFrame} from './frame_codec.ts';
 import type {HandshakeAuthenticator} from './handshake_authenticator.ts';
 import {MeshLink, type LinkCloseReason} from './mesh_link.ts';
@@ -85,14 +85,14 @@
     const link = new MeshLink(socket);
     const nonce = this.authenticator.createNonce();
     this.unauthenticated.add(link);
-    const timer = setTimeout(() => link.cut('hello_timeout'), HELLO_TIMEOUT_MS);
+    const timeout = new PolledTimeout(HELLO_TIMEOUT_MS, () => link.cut('hello_timeout'));
     link.setHandlers({
       onMessage: message => {
-        clearTimeout(timer);
+        timeout.clear();
         this.authenticate(link, nonce, message);
       },
       onClose: reason => {
-        clearTimeout(timer);
+        timeout.clear();
         this.unauthenticated.delete(link);
         this.closeReasons.increment(reason);
       },
