Close connections for watches of the store once they have been idle

A gateway reads the store itself when its relay has ended.

Connections for long-running calls now close after one idle second. Two watches in a row are less than that apart, so that these open no more connections, and no call is added.

--- a/features/stale_lists.feature
+++ b/features/stale_lists.feature
@@ -50,3 +50,7 @@
       | a store response    |
       | a replica's report  |
       | a message of a peer |
+
+  # The first watch after the relay had ended used a connection that had become unresponsive.
+  Scenario: a watch of the store doesn't use a connection that has been idle
+    Then a watch is answered within 300 ms when its last connection stalled in an idle time of 1500 ms
--- a/features/steps/stale_list_steps.ts
+++ b/features/steps/stale_list_steps.ts
@@ -3,6 +3,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {watchAfterIdling} from '../support/known_age.ts';
 import {requestAfterStall} from '../support/stalled_gateway.ts';
 import {acceptsAfterStall, type StalledCall} from '../support/stalled_process.ts';
 import {usersScenario} from '../support/users_scenario.ts';
@@ -102,3 +103,11 @@
     assert.ok(await acceptsAfterStall(what), 'it was taken for lost');
   },
 );
+
+Then(
+  'a watch is answered within {int} ms when its last connection stalled in an idle time of {int} ms',
+  async (maxMs: number, idleMs: number) => {
+    const tookMs = await watchAfterIdling(idleMs);
+    assert.ok(tookMs <= maxMs, `after ${tookMs} ms`);
+  },
+);
--- a/features/support/known_age.ts
+++ b/features/support/known_age.ts
@@ -2,12 +2,14 @@
 import assert from 'node:assert/strict';
 import fc from 'fast-check';
 import {createLogger, MetricRegistry, sleep} from '@jasminepost/core';
+import type {StoreChangesMessage} from '@jasminepost/mesh';
 import {relayedAsOfMs} from '@jasminepost/policy';
 import {StoreClient, type StoreCall} from '@jasminepost/platform';
 import {FleetWatcher} from '../../apps/gateway/src/lib/fleet_watcher.ts';
 import {StoreWatcher} from '../../apps/gateway/src/lib/store_watcher.ts';
 import {MetadataStore} from '../../stand_ins/users_platform/metadata_store.ts';
 import {until} from './fleet_process.ts';
+import {LoopbackProxy} from './loopback_proxy.ts';
 
 const READ_TIMEOUT_MS = 3000;
 const RELAY_INTERVAL_MS = 100;
@@ -16,65 +18,151 @@
 const GATEWAYS = 3;
 const MAX_DELAY_MS = 100_000;
 
-/**
- * Relays messages that are `ageMs` old to a gateway, without a change that the store already has.
- *
- * @returns Time until the gateway knows the change; infinite if not within `timeoutMs`.
- */
-export async function relayLate(ageMs: number, timeoutMs: number): Promise<number> {
-  const store = new MetadataStore();
-  const [host, port] = (await store.listen()).split(':');
-  const calls = new MetricRegistry().counter<StoreCall>('store_calls', 'Calls', 'call');
-  const client = new StoreClient({host, port: Number(port)}, calls);
-  let known: string | undefined;
-  const watcher = new FleetWatcher(client, createLogger('test', 'late', 'error'), HEARTBEAT_MS, {
-    onConfig: () => undefined,
-    onReplicaSnapshot: changes => (known = changes.at(-1)?.value),
-    onReplicaChange: ({value}) => {
-      known = value;
-      return true;
-    },
-    onOtherChange: () => true,
-    isRelay: () => false,
-    relay: () => undefined,
-    gateways: () => GATEWAYS,
-    linkedGatewayCount: () => 0,
-  });
-  store.put(REPLICA_KEY, 'serving');
-  watcher.start();
-  await until('the first read', READ_TIMEOUT_MS, async () => (known === undefined ? known : true));
-  const revision = watcher.knownRevision;
-  const relay = () =>
-    watcher.applyRelayed(
+/** A gateway's watcher between a stand-in store and relayed messages that the test sends. */
+class RelayedWatcher {
+  /** Newest entry of the replica that the watcher knows. */
+  known: string | undefined;
+  /** For each change of an entry: true when it was held to be possibly due to an outage. */
+  readonly afterOutage: boolean[] = [];
+  readonly store = new MetadataStore();
+  storeLink!: LoopbackProxy;
+  watcher!: FleetWatcher;
+  private client!: StoreClient;
+
+  async start(): Promise<void> {
+    const [host, port] = (await this.store.listen()).split(':');
+    this.storeLink = new LoopbackProxy(host, Number(port));
+    await this.storeLink.listen(host);
+    const calls = new MetricRegistry().counter<StoreCall>('store_calls', 'Calls', 'call');
+    this.client = new StoreClient({host, port: this.storeLink.port}, calls);
+    const log = createLogger('test', 'late', 'error');
+    this.watcher = new FleetWatcher(this.client, log, HEARTBEAT_MS, {
+      onConfig: () => undefined,
+      onReplicaSnapshot: changes => (this.known = changes.at(-1)?.value),
+      onReplicaChange: ({value}, afterOutage) => {
+        this.known = value;
+        this.afterOutage.push(afterOutage);
+        return true;
+      },
+      onOtherChange: () => true,
+      isRelay: () => false,
+      relay: () => undefined,
+      gateways: () => GATEWAYS,
+      linkedGatewayCount: () => 0,
+    });
+    this.store.put(REPLICA_KEY, 'serving');
+    this.watcher.start();
+    await until('the first read', READ_TIMEOUT_MS, async () =>
+      this.known === undefined ? undefined : true,
+    );
+  }
+
+  /** Relays the changes that follow what the watcher knows. */
+  relay(asOfMs: number, changes: StoreChangesMessage['changes'] = []): void {
+    const since = this.watcher.knownRevision;
+    this.watcher.applyRelayed(
       {
         type: 'store_changes',
-        era: client.era,
-        since: revision,
-        revision,
+        era: this.client.era,
+        since,
+        revision: changes.at(-1)?.revision ?? since,
         settling: false,
         gateways: GATEWAYS,
         configRevision: 0,
         ageMs: 0,
-        changes: [],
+        changes,
       },
-      performance.now() - ageMs,
+      asOfMs,
     );
+  }
+
+  /** @returns Time until a leaving replica is known; infinite if not within `timeoutMs`. */
+  async timeUntilLeavingKnown(timeoutMs: number): Promise<number> {
+    this.store.put(REPLICA_KEY, 'leaving');
+    const putMs = performance.now();
+    return until('the change', timeoutMs, async () =>
+      this.known === 'leaving' ? performance.now() - putMs : undefined,
+    ).catch(() => Number.POSITIVE_INFINITY);
+  }
+
+  dispose(): void {
+    this.watcher.dispose();
+    this.storeLink.close();
+    this.store.close();
+  }
+}
+
+/**
+ * Relays messages that are `ageMs` old to a gateway, without a change that the store already has.
+ *
+ * @returns Time until the gateway knows the change; infinite if not within `timeoutMs`.
+ */
+export async function relayLate(ageMs: number, timeoutMs: number): Promise<number> {
+  const relayed = new RelayedWatcher();
+  await relayed.start();
+  const relay = () => relayed.relay(performance.now() - ageMs);
   relay();
   const relays = setInterval(relay, RELAY_INTERVAL_MS);
   // A pending watch of the gateway's own ends with this.
-  store.put('servers/b', 'serving');
+  relayed.store.put('servers/b', 'serving');
   await sleep(READ_TIMEOUT_MS);
-  store.put(REPLICA_KEY, 'leaving');
-  const putMs = performance.now();
-  const tookMs = await until('the change', timeoutMs, async () =>
-    known === 'leaving' ? performance.now() - putMs : undefined,
-  ).catch(() => Number.POSITIVE_INFINITY);
+  const tookMs = await relayed.timeUntilLeavingKnown(timeoutMs);
   clearInterval(relays);
-  watcher.dispose();
+  relayed.dispose();
+  return tookMs;
+}
+
+/**
+ * Watches the store again after `idleMs`, when the connection of the first watch has become
+ * unresponsive unnoticed.
+ *
+ * @returns Time until the response; infinite if there is none.
+ */
+export async function watchAfterIdling(idleMs: number): Promise<number> {
+  const store = new MetadataStore();
+  const [host, port] = (await store.listen()).split(':');
+  const link = new LoopbackProxy(host, Number(port));
+  await link.listen(host);
+  const calls = new MetricRegistry().counter<StoreCall>('store_calls', 'Calls', 'call');
+  const client = new StoreClient({host, port: link.port}, calls);
+  const watch = () => client.watch('s', {era: 1, revision: 1}, 0, new AbortController().signal);
+  await watch();
+  await sleep(idleMs);
+  link.stall();
+  const startMs = performance.now();
+  const tookMs = await watch().then(
+    () => performance.now() - startMs,
+    () => Number.POSITIVE_INFINITY,
+  );
+  await client.close();
+  link.close();
   store.close();
   return tookMs;
 }
 
+/**
+ * Makes the store silent to one gateway for `silentMs`, and relays a removal to it after that from
+ * one that had no outage.
+ *
+ * @returns True when the gateway takes the removal for a possible result of an outage.
+ */
+export async function relayRemovalAfterOwnOutage(silentMs: number): Promise<boolean> {
+  const relayed = new RelayedWatcher();
+  await relayed.start();
+  relayed.store.mode = 'silent';
+  await sleep(silentMs);
+  relayed.store.mode = 'up';
+  await until('contact', READ_TIMEOUT_MS, async () =>
+    relayed.watcher.contactAgeMs < RELAY_INTERVAL_MS ? true : undefined,
+  );
+  relayed.relay(performance.now());
+  const revision = relayed.watcher.knownRevision + 1;
+  relayed.relay(performance.now(), [{key: REPLICA_KEY, revision, value: undefined}]);
+  const wasHeld = relayed.afterOutage.at(-1)!;
+  relayed.dispose();
+  return wasHeld;
+}
+
 /** @returns Age of what a watcher knows just after the response to a watch that took so long. */
 export async function watchSlowly(responseMs: number): Promise<number> {
   let ageMs: number | undefined;
--- a/packages/key_value/src/lib/store_http_client.ts
+++ b/packages/key_value/src/lib/store_http_client.ts
@@ -21,6 +21,12 @@
 /** Slowest expected upload, in bytes per millisecond; extends the timeout of calls with a body. */
 const MIN_UPLOAD_BYTES_PER_MS = 100;
 
+/**
+ * Idle time after which a connection for long-running calls is closed. Between two watches it is
+ * idle for a shorter time; after a longer one, it may have become unresponsive unnoticed.
+ */
+const LONG_RUNNING_IDLE_MS = 1000;
+
 /** Headers of a response, by name in lower case. @public */
 export type StoreHttpHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -127,7 +133,11 @@
   }
 
   private createLongRunningAgent(): Agent {
-    return new Agent({connect: {timeout: this.limits.connectTimeoutMs}});
+    return new Agent({
+      connect: {timeout: this.limits.connectTimeoutMs},
+      keepAliveTimeout: LONG_RUNNING_IDLE_MS,
+      keepAliveMaxTimeout: LONG_RUNNING_IDLE_MS,
+    });
   }
 }
 
