Don't keep replicas that may have left as if the store had been away

Replicas whose entries were removed got requests for two more seconds at a gateway that had been without the store for 1.8 s or longer, whatever the reason: in that case it takes a missing entry for one that lapsed in an outage and will be renewed. With a lost watch before it, requests reach a replica more than four seconds after the store accepted that it leaves (DRAIN).

Cause: a gateway that loses its own connection, or is short of processor time, can't tell this from an outage of the store. The planner's gateway can, and says so in what it relays, but its word counted only when it had an outage itself. It decides now as long as it relays. A gateway on its own uses a replica without an entry only where no other can serve, so that an outage still costs nobody an answer.

--- a/apps/gateway/src/lib/fleet_watcher.ts
+++ b/apps/gateway/src/lib/fleet_watcher.ts
@@ -276,7 +276,8 @@
     return Math.min(MAX_BATCH_DELAY_MS, Math.max(MIN_BATCH_DELAY_MS, delayMs));
   }
 
+  /** A gateway that only lost its own connection is told so by one that did not. */
   private isSettling(): boolean {
-    return performance.now() < this.settledAtMs || (this.isRelayed && this.relayedSettling);
+    return this.isRelayed ? this.relayedSettling : performance.now() < this.settledAtMs;
   }
 }
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -44,6 +44,8 @@
   kvTokens = 0;
   serviceMs = INITIAL_SERVICE_MS;
   prefillMs = INITIAL_PREFILL_MS;
+  /** True while its entry is missing after an outage of the store, and may yet be renewed. */
+  isMissing = false;
   private isAddressReassigned = false;
   private stewardState: EngineStateMessage | undefined;
   private load: EngineLoadMessage | undefined;
@@ -135,7 +137,9 @@
   }
 
   eligibilityAt(nowMs: number): Eligibility {
-    return eligibilityOf(this.learned.availability, nowMs);
+    const eligibility = eligibilityOf(this.learned.availability, nowMs);
+    // It may have left during the outage.
+    return eligibility === 'yes' && this.isMissing ? 'last_resort' : eligibility;
   }
 
   /** Rate limit that it imposes on all gateways together. */
--- a/apps/gateway/src/lib/replica_table.ts
+++ b/apps/gateway/src/lib/replica_table.ts
@@ -159,6 +159,7 @@
       const isCoveredBySteward = known.state !== undefined && known.entry.leaving === entry.leaving;
       this.logLeavingChange(known.entry, entry);
       known.entry = entry;
+      known.isMissing = false;
       this.events.onChanged();
       return !isCoveredBySteward;
     }
@@ -249,6 +250,7 @@
       return;
     }
     this.missingKeys.add(key);
+    replica.isMissing = true;
     this.log.info('replica missing after a store outage', {replica: replica.id});
     this.graceTimer ??= setTimeout(() => this.onGraceEnd(), OUTAGE_GRACE_MS);
   }
--- a/features/stale_lists.feature
+++ b/features/stale_lists.feature
@@ -54,3 +54,20 @@
   # The first watch after the relay had ended used a connection that had become unresponsive.
   Scenario: a watch of the store doesn't use a connection that has been idle
     Then a watch is answered within 300 ms when its last connection stalled in an idle time of 1500 ms
+
+  # A gateway that had lost only its own connection kept using replicas that had left for two seconds.
+  Scenario: a removal that another gateway relays is not put down to an outage of one's own
+    Then a removal relayed after 3500 ms without the store takes effect at once
+
+  # The same, after an outage of the store: a missing replica was used like any other.
+  Scenario Outline: <missing> missing after an outage of the store
+    Given a users' fleet of 2 service replicas, 0 engines and 1 gateway
+    When the store is silent for 3500 ms, and the entries of <count> replicas are gone after that
+    And a caller sends 20 orders
+    Then every answer is whole
+    And <result>
+
+    Examples:
+      | missing          | count | result                                            |
+      | a replica        | 1     | the replica without an entry got none of them     |
+      | all replicas are | 2     | the replicas without an entry got all of them     |
--- a/features/steps/stale_list_steps.ts
+++ b/features/steps/stale_list_steps.ts
@@ -3,7 +3,8 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
-import {watchAfterIdling} from '../support/known_age.ts';
+import {relayRemovalAfterOwnOutage, watchAfterIdling} from '../support/known_age.ts';
+import {until} from '../support/fleet_process.ts';
 import {requestAfterStall} from '../support/stalled_gateway.ts';
 import {acceptsAfterStall, type StalledCall} from '../support/stalled_process.ts';
 import {usersScenario} from '../support/users_scenario.ts';
@@ -16,6 +17,9 @@
 
 /** Time in which the first connections are being opened. */
 const CONNECT_MS = 20;
+/** Time in which a gateway reaches the store again. */
+const REGAIN_MS = 2000;
+const ORDERS = 20;
 
 const leavingReplicas = new WeakMap<FleetWorld, UsersReplica>();
 const waits = new WeakMap<FleetWorld, WaitingRequestResult>();
@@ -111,3 +115,34 @@
     assert.ok(tookMs <= maxMs, `after ${tookMs} ms`);
   },
 );
+
+Then(
+  'a removal relayed after {int} ms without the store takes effect at once',
+  async (silentMs: number) => {
+    assert.equal(await relayRemovalAfterOwnOutage(silentMs), false);
+  },
+);
+
+When(
+  'the store is silent for {int} ms, and the entries of {int} replicas are gone after that',
+  async function (this: FleetWorld, silentMs: number, count: number) {
+    const {fleet} = usersScenario(this);
+    fleet.store.mode = 'silent';
+    await sleep(silentMs);
+    for (const {id} of fleet.services.slice(0, count)) fleet.store.remove(`servers/${id}`);
+    fleet.store.mode = 'up';
+    const [gateway] = fleet.gateways;
+    await until('the missing entries', REGAIN_MS, async () =>
+      gateway.process.log.join('').includes('missing after a store outage') ? true : undefined,
+    );
+  },
+);
+
+Then('the replica without an entry got none of them', function (this: FleetWorld) {
+  assert.equal(usersScenario(this).fleet.services[0].runs.length, 0);
+});
+
+Then('the replicas without an entry got all of them', function (this: FleetWorld) {
+  const {services} = usersScenario(this).fleet;
+  assert.equal(services[0].runs.length + services[1].runs.length, ORDERS);
+});
