Watch again at once after a response that has waited

The logs show the gateway read, at its wake, a watch that had been answered just after it was stopped; then it waited 250 ms for a batch of changes while its list was 4.5 s old, and choices stopped waiting after 300 ms, part of which it was held up by its quota.

A response that comes late has waited in the process, so that more changes are there already: the next watch follows at once. Choices wait for 500 ms at most. A stall adds one call; nothing else does.

The scenario fails without the change.

--- a/apps/gateway/src/lib/store_watcher.ts
+++ b/apps/gateway/src/lib/store_watcher.ts
@@ -12,6 +12,8 @@
 const RELAYED_POLL_MS = 100;
 const RETRY_BASE_MS = 150;
 const RETRY_CAP_MS = 400;
+/** Time beyond its timeout after which the response to a watch has waited in this process. */
+const LATE_RESPONSE_MS = 300;
 /** Interval between log lines about a store that stays unavailable. */
 const LOST_LOG_INTERVAL_MS = 2000;
 
@@ -222,7 +224,9 @@
     }
     const since = this.knownRevision;
     this.events.onChanges(this.advance(found.revision, found.changes), since);
-    if (found.changes.length > 0) await sleep(this.events.batchDelayMs(), this.abort.signal);
+    // A response that has waited here may be followed by many changes already.
+    if (found.changes.length === 0 || this.contactAgeMs > timeoutMs + LATE_RESPONSE_MS) return;
+    await sleep(this.events.batchDelayMs(), this.abort.signal);
   }
 
   private advance(revision: number, changes: readonly StoreChange[]): readonly StoreChange[] {
--- a/features/stale_lists.feature
+++ b/features/stale_lists.feature
@@ -55,6 +55,10 @@
   Scenario: a watch of the store doesn't use a connection that has been idle
     Then a watch is answered within 300 ms when its last connection stalled in an idle time of 1500 ms
 
+  # A gateway that had stood still read one old response, and then waited for a batch of changes.
+  Scenario: a response of the store that has waited is followed by the next watch at once
+    Then the next watch follows within 200 ms after a response that took 900 ms
+
   # A gateway that had lost only its own connection kept using replicas that had left for two seconds.
   Scenario: a removal that another gateway relays is not put down to an outage of one's own
     Then a removal relayed after 3500 ms without the store takes effect at once
--- a/features/steps/relayed_change_steps.ts
+++ b/features/steps/relayed_change_steps.ts
@@ -64,7 +64,7 @@
 Then(
   'what a gateway knows is at least {int} ms old after a response that took {int} ms',
   async (minAgeMs: number, responseMs: number) => {
-    const ageMs = await watchSlowly(responseMs);
+    const {ageMs} = await watchSlowly(responseMs);
     // A timer may fire up to a millisecond early.
     assert.ok(ageMs >= minAgeMs - 1, `${ageMs} ms`);
   },
--- a/features/steps/stale_list_steps.ts
+++ b/features/steps/stale_list_steps.ts
@@ -3,7 +3,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
-import {relayRemovalAfterOwnOutage, watchAfterIdling} from '../support/known_age.ts';
+import {relayRemovalAfterOwnOutage, watchAfterIdling, watchSlowly} from '../support/known_age.ts';
 import {until} from '../support/fleet_process.ts';
 import {requestAfterStall} from '../support/stalled_gateway.ts';
 import {acceptsAfterStall, type StalledCall} from '../support/stalled_process.ts';
@@ -116,6 +116,14 @@
   },
 );
 
+Then(
+  'the next watch follows within {int} ms after a response that took {int} ms',
+  async (maxMs: number, responseMs: number) => {
+    const {nextWatchMs} = await watchSlowly(responseMs);
+    assert.ok(nextWatchMs <= maxMs, `after ${nextWatchMs} ms`);
+  },
+);
+
 Then(
   'a removal relayed after {int} ms without the store takes effect at once',
   async (silentMs: number) => {
--- a/features/support/known_age.ts
+++ b/features/support/known_age.ts
@@ -17,6 +17,7 @@
 const REPLICA_KEY = 'servers/a';
 const GATEWAYS = 3;
 const MAX_DELAY_MS = 100_000;
+const BATCH_DELAY_MS = 2000;
 
 /** A gateway's watcher between a stand-in store and relayed messages that the test sends. */
 class RelayedWatcher {
@@ -163,25 +164,43 @@
   return wasHeld;
 }
 
-/** @returns Age of what a watcher knows just after the response to a watch that took so long. */
-export async function watchSlowly(responseMs: number): Promise<number> {
+export interface SlowWatch {
+  /** Age of what the watcher knows just after the response. */
+  readonly ageMs: number;
+  /** Time from the response until the next watch; infinite if not within the batch delay. */
+  readonly nextWatchMs: number;
+}
+
+/** Watches a store that takes `responseMs` for a change instead of responding at once. */
+export async function watchSlowly(responseMs: number): Promise<SlowWatch> {
   let ageMs: number | undefined;
-  const position = {revision: 1, era: 0, changes: []};
+  let respondedMs = Number.POSITIVE_INFINITY;
+  let watches = 0;
+  const change = {key: REPLICA_KEY, revision: 2, value: 'leaving'};
   const store = {
-    range: () => Promise.resolve(position),
-    watch: () => sleep(responseMs).then(() => position),
+    range: () => Promise.resolve({revision: 1, era: 0, changes: []}),
+    watch: () => {
+      watches += 1;
+      return sleep(responseMs).then(() => ({revision: 2, era: 0, changes: [change]}));
+    },
   } as unknown as StoreClient;
   const watcher = new StoreWatcher(store, 's', createLogger('test', 'slow', 'error'), {
     onSnapshot: () => undefined,
-    onChanges: () => (ageMs ??= watcher.contactAgeMs),
+    onChanges: () => {
+      ageMs ??= watcher.contactAgeMs;
+      respondedMs = Math.min(respondedMs, performance.now());
+    },
     onReconnect: () => undefined,
     watchTimeoutMs: () => 0,
-    batchDelayMs: () => 0,
+    batchDelayMs: () => BATCH_DELAY_MS,
   });
   watcher.start();
-  const found = await until('a response', responseMs + READ_TIMEOUT_MS, async () => ageMs);
+  const foundAgeMs = await until('a response', responseMs + READ_TIMEOUT_MS, async () => ageMs);
+  const nextWatchMs = await until('the next watch', BATCH_DELAY_MS / 2, async () =>
+    watches > 1 ? performance.now() - respondedMs : undefined,
+  ).catch(() => Number.POSITIVE_INFINITY);
   watcher.dispose();
-  return found;
+  return {ageMs: foundAgeMs, nextWatchMs};
 }
 
 /** Dates relayed contents by an echo, whatever the clocks and delays of the two processes. */
--- a/packages/policy/src/lib/list_age_limit.ts
+++ b/packages/policy/src/lib/list_age_limit.ts
@@ -3,7 +3,7 @@
 /** Time in which a request reaches the replica that was chosen for it. */
 const TRANSIT_MS = 300;
 /** Longest wait for a newer list; without a response by then, the store counts as unavailable. */
-const MAX_WAIT_MS = 300;
+const MAX_WAIT_MS = 500;
 
 /**
  * A process that stood still, or whose source of changes ended, knows at once that its list is old
