Let watches that are overdue go on beside the next one

The gateways' lists were 4 to 11 s old.

Cause, from the log: "no response within 800 ms, 0 bytes after 804 ms", again and again, at gateways that ran. While the planner's gateway stood still, all gateways watched the store themselves, which made it slow. A watch that has lost the store is given 800 ms, is then given up, and the next one is given 800 ms: a store that needs longer is never heard, although it serves, and all gateways keep it busy with calls that nobody waits for.

As many calls are begun as before. This holds for the watch of the configuration, too. A timeout after a stall is no response in time only after a poll, as elsewhere.

--- a/apps/gateway/src/lib/store_watcher.ts
+++ b/apps/gateway/src/lib/store_watcher.ts
@@ -1,6 +1,6 @@
 /** Watches the keys of the platform's store that begin with a prefix. */
-import {backoffMs, errorMessage, sleep, type Logger} from '@jasminepost/core';
-import type {StoreChange, StoreChanges, StoreClient} from '@jasminepost/platform';
+import {backoffMs, errorMessage, PolledTimeout, sleep, type Logger} from '@jasminepost/core';
+import type {StoreChange, StoreChanges, StoreClient, StorePosition} from '@jasminepost/platform';
 
 /**
  * Hedging delay of the first read: until a response begins, another read is started after each such
@@ -12,6 +12,8 @@
 const RELAYED_POLL_MS = 100;
 const RETRY_BASE_MS = 150;
 const RETRY_CAP_MS = 400;
+/** Time beyond its timeout after which a watch counts as lost, and another one is begun beside it. */
+const OVERDUE_MS = 800;
 /** Time beyond its timeout after which the response to a watch has waited in this process. */
 const LATE_RESPONSE_MS = 300;
 /** Interval between log lines about a store that stays unavailable. */
@@ -31,11 +33,20 @@
   batchDelayMs(): number;
 }
 
+interface WatchResponse {
+  /** Undefined when all keys must be read again. */
+  readonly found: StoreChanges | undefined;
+  /** When the watch was begun. */
+  readonly sentMs: number;
+}
+
 /** @internal */
 export class StoreWatcher {
   private readonly abort = new AbortController();
   /** Aborts the call in progress. */
   private call = new AbortController();
+  /** Watches that have had no response in time, and may still get one. */
+  private readonly overdue = new Map<AbortController, Promise<WatchResponse>>();
   /** True while the response to that call is being received. */
   private receiving = false;
   private knownRevision = -1;
@@ -92,11 +103,13 @@
   dispose(): void {
     this.abort.abort();
     this.call.abort();
+    this.abortOverdue();
   }
 
   /** Causes all keys to be read again. */
   resync(): void {
     this.knownRevision = -1;
+    this.abortOverdue();
     this.restartWatch();
   }
 
@@ -199,19 +212,22 @@
     }
   }
 
+  /**
+   * A store that is slow would never be heard if each watch were given up for the next one: those
+   * that are overdue go on beside it.
+   */
   private async watch(timeoutMs: number): Promise<void> {
-    const {signal} = this.call;
     const position = {era: this.knownEra, revision: this.knownRevision};
-    const sentMs = performance.now();
-    let found: StoreChanges | undefined;
+    let response: WatchResponse;
     try {
-      const onBegun = () => (this.receiving = true);
-      found = await this.store.watch(this.prefix, position, timeoutMs, signal, onBegun);
+      response = await this.firstResponse(timeoutMs, position);
     } catch (thrown) {
       // The changes since then may be too many to transfer in time; the current state is smaller.
       if (this.receiving) this.knownRevision = -1;
       throw thrown;
     }
+    const {found, sentMs} = response;
+    this.abortOverdue();
     this.receiving = false;
     if (this.abort.signal.aborted) return;
     this.onResponse(sentMs);
@@ -229,6 +245,38 @@
     await sleep(this.events.batchDelayMs(), this.abort.signal);
   }
 
+  /** Begins a watch. @returns The response to it, or to one that is overdue. */
+  private async firstResponse(timeoutMs: number, position: StorePosition): Promise<WatchResponse> {
+    const {call} = this;
+    const sentMs = performance.now();
+    const onBegun = () => (this.receiving = true);
+    const latest = this.store
+      .watch(this.prefix, position, timeoutMs, call.signal, onBegun)
+      .then(found => ({found, sentMs}));
+    const responses = [latest, ...this.overdue.values()];
+    let timeout: PolledTimeout | undefined;
+    const isOverdue = new Promise<undefined>(resolve => {
+      timeout = new PolledTimeout(timeoutMs + OVERDUE_MS, () => resolve(undefined));
+    });
+    const response = await Promise.race([...responses, isOverdue]).finally(() => timeout?.clear());
+    if (response !== undefined) {
+      // The latest one is of no use any more, if it is not the one that was answered.
+      if (response.sentMs !== sentMs) call.abort();
+      return response;
+    }
+    if (this.receiving) return Promise.race(responses);
+    // What fails later doesn't end the watches beside it.
+    const ignoringFailure = latest.catch(() => new Promise<never>(() => undefined));
+    this.overdue.set(call, ignoringFailure);
+    void latest.catch(() => this.overdue.delete(call));
+    throw new Error(`watch ${this.prefix}: no response within ${timeoutMs + OVERDUE_MS} ms`);
+  }
+
+  private abortOverdue(): void {
+    for (const call of this.overdue.keys()) call.abort();
+    this.overdue.clear();
+  }
+
   private advance(revision: number, changes: readonly StoreChange[]): readonly StoreChange[] {
     const newChanges = changes.filter(change => change.revision > this.knownRevision);
     this.knownRevision = Math.max(this.knownRevision, revision);
--- a/features/stale_lists.feature
+++ b/features/stale_lists.feature
@@ -59,6 +59,10 @@
   Scenario: a response of the store that has waited is followed by the next watch at once
     Then the next watch follows within 200 ms after a response that took 900 ms
 
+  # Each watch was given up for the next one before a slow store had responded, without end.
+  Scenario: a gateway hears a slow store after it has lost it
+    Then a gateway knows of a leaving replica within 3000 ms from a store that takes 1100 ms after 2500 ms without it
+
   # A gateway that had lost only its own connection kept using replicas that had left for two seconds.
   Scenario: a removal that another gateway relays is not put down to an outage of one's own
     Then a removal relayed after 3500 ms without the store takes effect at once
--- a/features/steps/stale_list_steps.ts
+++ b/features/steps/stale_list_steps.ts
@@ -3,7 +3,12 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {sleep} from '@jasminepost/core';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
-import {relayRemovalAfterOwnOutage, watchAfterIdling, watchSlowly} from '../support/known_age.ts';
+import {
+  readSlowStore,
+  relayRemovalAfterOwnOutage,
+  watchAfterIdling,
+  watchSlowly,
+} from '../support/known_age.ts';
 import {until} from '../support/fleet_process.ts';
 import {requestAfterStall} from '../support/stalled_gateway.ts';
 import {acceptsAfterStall, type StalledCall} from '../support/stalled_process.ts';
@@ -124,6 +129,14 @@
   },
 );
 
+Then(
+  'a gateway knows of a leaving replica within {int} ms from a store that takes {int} ms after {int} ms without it',
+  async (maxMs: number, latencyMs: number, silentMs: number) => {
+    const tookMs = await readSlowStore(silentMs, latencyMs, 2 * maxMs);
+    assert.ok(tookMs <= maxMs, `after ${tookMs} ms`);
+  },
+);
+
 Then(
   'a removal relayed after {int} ms without the store takes effect at once',
   async (silentMs: number) => {
--- a/features/support/known_age.ts
+++ b/features/support/known_age.ts
@@ -141,6 +141,27 @@
   return tookMs;
 }
 
+/**
+ * Makes the store silent for `silentMs`, and then slow.
+ *
+ * @returns Time until the gateway knows a change; infinite if not within `timeoutMs`.
+ */
+export async function readSlowStore(
+  silentMs: number,
+  latencyMs: number,
+  timeoutMs: number,
+): Promise<number> {
+  const relayed = new RelayedWatcher();
+  await relayed.start();
+  relayed.store.mode = 'silent';
+  await sleep(silentMs);
+  relayed.store.mode = 'up';
+  relayed.store.latencyMs = latencyMs;
+  const tookMs = await relayed.timeUntilLeavingKnown(timeoutMs);
+  relayed.dispose();
+  return tookMs;
+}
+
 /**
  * Makes the store silent to one gateway for `silentMs`, and relays a removal to it after that from
  * one that had no outage.
--- a/features/support/stalled_process.ts
+++ b/features/support/stalled_process.ts
@@ -17,7 +17,7 @@
 const TIMEOUT_MS = 200;
 const CHECK_MS = 20;
 /** Longer than the timeout of each call. */
-const STALL_MS = 1500;
+const STALL_MS = 3500;
 
 export type StalledCall = 'a store response' | "a replica's report" | 'a message of a peer';
 
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -309,7 +309,8 @@
     }
   }
 
-  private startSteward(engine: UsersReplica): void {
+  /** Starts the steward beside an engine. */
+  startSteward(engine: UsersReplica): void {
     const ip = this.hosts.get(engine) ?? '';
     const process = this.spawn('jasminepost-steward', ip, {
       app: `${ip}:${engine.port}`,
