--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,12 +1,14 @@
 /** `npm run soak -- --seeds 50`: runs many seeds and keeps the logs of those with violations. */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {command, number, oneOf, option, run} from 'cmd-ts';
+import {runLeavingSoak} from './leaving_soak.ts';
 import {runSoak, type SoakReport} from './soak_run.ts';
 import {runVersionSoak} from './version_soak.ts';
 
 const KINDS: Readonly<Record<string, (seed: number) => Promise<SoakReport>>> = {
   faults: runSoak,
   versions: runVersionSoak,
+  leaving: runLeavingSoak,
 };
 const LOG_FOLDER = 'soak-logs';
 
