Keep requests that wait for a newer list out of the queue's estimate

Suspected cause, by reading: requests that waited for a newer list stood in the queue of their model. Nothing leaves it meanwhile, so that the estimate of its drain rate falls and those that follow are refused for a queue that is not full.

They wait in a place of their own now, and are submitted as if they had just arrived once the list is newer. The check of 30 drafts is back: the count had been cut to six for a refusal that this may explain.

--- a/apps/gateway/src/lib/engine_selector.ts
+++ b/apps/gateway/src/lib/engine_selector.ts
@@ -35,13 +35,11 @@
 /**
  * `late_here`: the request would be late at every replica, and others wait that would not be.
  * `paused`: all replicas with the model have asked for a pause. `limited`: all replicas that may
- * take the request are rate-limited, and their limits are used up. `list_outdated`: a newer list of
- * replicas is awaited.
+ * take the request are rate-limited, and their limits are used up.
  *
  * @internal
  */
-export type WaitReason =
-  'full' | 'late_here' | 'no_holder' | 'adapter' | 'paused' | 'limited' | 'list_outdated';
+export type WaitReason = 'full' | 'late_here' | 'no_holder' | 'adapter' | 'paused' | 'limited';
 
 /** @internal */
 export type EngineSelection =
--- a/apps/gateway/src/lib/generation_queue.ts
+++ b/apps/gateway/src/lib/generation_queue.ts
@@ -27,9 +27,6 @@
 /** Minimum retry delay under overload: loading another copy of the model from disk takes 2 s. */
 const OVERLOAD_RETRY_AFTER_MS = 1500;
 
-/** Waits that end by themselves, whatever the load of the replicas. */
-const SHORT_WAITS: ReadonlySet<WaitReason> = new Set<WaitReason>(['adapter', 'list_outdated']);
-
 /** A generation as the queue sees it. @internal */
 export interface QueuedGeneration extends QueuedServiceRequest {
   readonly generation: GenerationParams;
@@ -64,6 +61,8 @@
 export class GenerationQueue {
   /** Queued requests, each with the reason for which it could not be sent. */
   private readonly queued = new Map<QueuedGeneration, WaitReason>();
+  /** Requests that are submitted once a newer list is known; no replica's load makes them wait. */
+  private readonly awaitingList = new Set<QueuedGeneration>();
   /** Priority levels of each `service/model`. */
   private readonly levelsByModel = new Map<string, Map<number, PriorityLevel>>();
   private recheckTimer: NodeJS.Timeout | undefined;
@@ -72,7 +71,7 @@
   constructor(private readonly ctx: GenerationQueueContext) {}
 
   get length(): number {
-    return this.queued.size;
+    return this.queued.size + this.awaitingList.size;
   }
 
   /** Sends a request, queues it, or refuses it when it can't be served in time. */
@@ -90,11 +89,12 @@
       request.refuse('leaving', LEAVING_RETRY_AFTER_MS, {});
       return;
     }
-    ctx.demand.count(request.service, request.generation, request.isDelayTolerant);
     if (!ctx.mayChooseReplica()) {
-      this.enqueue(request, 'list_outdated', ctx.clock.monotonicMs());
+      this.awaitingList.add(request);
+      this.startRechecks();
       return;
     }
+    ctx.demand.count(request.service, request.generation, request.isDelayTolerant);
     const {ahead, aheadAtPriority} = this.countAhead(request);
     const outcome = ahead > 0 ? ctx.selector.waitReasonBehind(request) : this.tryDispatch(request);
     if (outcome === 'sent') return;
@@ -130,6 +130,7 @@
 
   /** Removes a request whose caller has disconnected or whose deadline has passed. */
   withdraw(request: QueuedGeneration): void {
+    this.awaitingList.delete(request);
     this.dequeue(request);
   }
 
@@ -145,7 +146,7 @@
 
   /** Schedules a dispatch of queued requests after the current events have been handled. */
   scheduleDispatch(): void {
-    if (this.isDispatchScheduled || this.queued.size === 0) return;
+    if (this.isDispatchScheduled || this.length === 0) return;
     this.isDispatchScheduled = true;
     setImmediate(() => {
       this.isDispatchScheduled = false;
@@ -162,6 +163,10 @@
     const level = this.levelOf(request);
     level.length += 1;
     level.drainRate.onWaiting(nowMs);
+    this.startRechecks();
+  }
+
+  private startRechecks(): void {
     this.recheckTimer ??= setInterval(() => this.dispatchWaiting(), RECHECK_INTERVAL_MS);
   }
 
@@ -175,6 +180,9 @@
   /** Sends, refuses, or keeps each queued request, in the order of the queue. */
   private dispatchWaiting(): void {
     if (!this.ctx.mayChooseReplica()) return;
+    const submitted = [...this.awaitingList];
+    this.awaitingList.clear();
+    for (const request of submitted) this.submit(request);
     const nowMs = this.ctx.clock.monotonicMs();
     /** Combinations of model and adapter for which no replica can take a request now. */
     const full = new Set<string>();
@@ -228,7 +236,7 @@
       full.add(key);
       if (outcome === 'full' && state === 'on_time') blocked.add(model);
     }
-    if (this.queued.size === 0) {
+    if (this.length === 0) {
       clearInterval(this.recheckTimer);
       this.recheckTimer = undefined;
     }
@@ -267,7 +275,7 @@
 
   /**
    * Counts the queued requests for the same model that are served first. Requests that wait for an
-   * adapter or for a newer list don't count: their wait is short and delays no others.
+   * adapter don't count: their wait is short and delays no others.
    */
   private countAhead(request: QueuedGeneration): {ahead: number; aheadAtPriority: number} {
     const counts = {ahead: 0, aheadAtPriority: 0};
@@ -275,7 +283,7 @@
     if (this.waitingFor(model) === 0) return counts;
     const nowMs = this.ctx.clock.monotonicMs();
     for (const [other, outcome] of this.queued) {
-      if (SHORT_WAITS.has(outcome) || modelKeyOf(other) !== model) continue;
+      if (outcome === 'adapter' || modelKeyOf(other) !== model) continue;
       if (compareQueuedRequests(other, request, nowMs) > 0) continue;
       counts.ahead += 1;
       if (other.priority === request.priority) counts.aheadAtPriority += 1;
--- a/features/stale_lists.feature
+++ b/features/stale_lists.feature
@@ -11,8 +11,8 @@
       | what   | count | replica         | which                 |
       | orders | 30    | service replica | the planner's gateway |
       | orders | 30    | service replica | another gateway       |
-      | drafts | 6     | engine          | the planner's gateway |
-      | drafts | 6     | engine          | another gateway       |
+      | drafts | 30    | engine          | the planner's gateway |
+      | drafts | 30    | engine          | another gateway       |
 
   # A request chose its replica, and was sent when a connection was free, whatever was known by then.
   Scenario Outline: a request that waits for <awaited> isn't sent once its replica is not to be used
