Simplify the watch timeouts and the supports of the stale lists

Read again after the work, behaviour as before: one method gives the timeout of both watches; one handler drops an overdue watch and hides its failure; a comment names the watcher's own limit instead of the client's. In the tests, a proxy that nothing used any more is gone, the store client is made in one place, two steps share the sending of drafts, and the number of orders comes from the answers. The kinds of the leaving soak are listed once.

The soak was not run again.

--- a/apps/gateway/src/lib/fleet_watcher.ts
+++ b/apps/gateway/src/lib/fleet_watcher.ts
@@ -19,8 +19,8 @@
 /** Common prefix of the keys of replicas and of the system, but not of the configuration. */
 const FLEET_PREFIX = 's';
 /**
- * Watch timeout; a lost watch is detected after this plus the client's grace period. What is known
- * is dated by the request, so that without changes it grows as old as two watches.
+ * Timeout of a gateway's own watch, without a relay. What is known is dated by the request, so that
+ * without changes it grows as old as two watches.
  */
 const WATCH_MS = 700;
 /** Watch timeout of the relaying gateway, which passes each response on to the others. */
@@ -103,14 +103,15 @@
       onSnapshot: (found, isRestored) => this.applySnapshot(found, isRestored),
       onChanges: (changes, since) => this.applyChanges(changes, since),
       onReconnect: outageMs => this.onReconnect(outageMs),
-      watchTimeoutMs: () => (this.isRelayed ? undefined : this.watchTimeoutMs()),
+      watchTimeoutMs: () => (this.isRelayed ? undefined : this.watchTimeoutMs(WATCH_MS)),
       batchDelayMs: () => this.batchDelayMs(),
     });
     this.config = new StoreWatcher(store, CONFIG_KEY, log, {
       onSnapshot: found => this.applyConfig(found.changes),
       onChanges: changes => this.applyConfig(changes),
       onReconnect: () => undefined,
-      watchTimeoutMs: () => this.configWatchTimeoutMs(),
+      watchTimeoutMs: () =>
+        this.isRelayed ? RELAYED_CONFIG_WATCH_MS : this.watchTimeoutMs(CONFIG_WATCH_MS),
       batchDelayMs: () => MIN_BATCH_DELAY_MS,
     });
     this.disposer.interval(CHECK_INTERVAL_MS, () => this.checkConfigLag());
@@ -261,13 +262,9 @@
     this.settledAtMs = performance.now() + OUTAGE_GRACE_MS;
   }
 
-  private watchTimeoutMs(): number {
-    return this.events.isRelay() ? RELAY_WATCH_MS : WATCH_MS;
-  }
-
-  private configWatchTimeoutMs(): number {
-    if (this.isRelayed) return RELAYED_CONFIG_WATCH_MS;
-    return this.events.isRelay() ? RELAY_WATCH_MS : CONFIG_WATCH_MS;
+  /** @param ownMs - Timeout of a gateway that watches for itself alone. */
+  private watchTimeoutMs(ownMs: number): number {
+    return this.events.isRelay() ? RELAY_WATCH_MS : ownMs;
   }
 
   private batchDelayMs(): number {
--- a/apps/gateway/src/lib/store_watcher.ts
+++ b/apps/gateway/src/lib/store_watcher.ts
@@ -266,9 +266,11 @@
     }
     if (this.receiving) return Promise.race(responses);
     // What fails later doesn't end the watches beside it.
-    const ignoringFailure = latest.catch(() => new Promise<never>(() => undefined));
+    const ignoringFailure = latest.catch(() => {
+      this.overdue.delete(call);
+      return new Promise<never>(() => undefined);
+    });
     this.overdue.set(call, ignoringFailure);
-    void latest.catch(() => this.overdue.delete(call));
     throw new Error(`watch ${this.prefix}: no response within ${timeoutMs + OVERDUE_MS} ms`);
   }
 
--- a/features/steps/stale_list_steps.ts
+++ b/features/steps/stale_list_steps.ts
@@ -24,7 +24,6 @@
 const CONNECT_MS = 20;
 /** Time in which a gateway reaches the store again. */
 const REGAIN_MS = 2000;
-const ORDERS = 20;
 
 const leavingReplicas = new WeakMap<FleetWorld, UsersReplica>();
 const waits = new WeakMap<FleetWorld, WaitingRequestResult>();
@@ -58,6 +57,18 @@
   },
 );
 
+/** Sends drafts at once, and keeps their answers; `leaving` is the replica that they must not reach. */
+async function sendDraftsBeside(
+  world: FleetWorld,
+  leaving: UsersReplica,
+  count: number,
+): Promise<void> {
+  const state = usersScenario(world);
+  leavingReplicas.set(world, leaving);
+  const calls = Array.from({length: count}, () => state.fleet.call({path: '/draft/7'}));
+  state.answers = await Promise.all(calls);
+}
+
 Given('the engines take {int} ms for a report', function (this: FleetWorld, delayMs: number) {
   for (const engine of usersScenario(this).fleet.engines) engine.reportDelayMs = delayMs;
 });
@@ -65,25 +76,21 @@
 When(
   '{int} drafts are sent, and the first engine leaves {int} ms later',
   async function (this: FleetWorld, count: number, delayMs: number) {
-    const state = usersScenario(this);
-    const [leaving] = state.fleet.engines;
-    const calls = Array.from({length: count}, () => state.fleet.call({path: '/draft/7'}));
+    const {fleet} = usersScenario(this);
+    const [leaving] = fleet.engines;
+    const sent = sendDraftsBeside(this, leaving, count);
     await sleep(CONNECT_MS + delayMs);
-    state.fleet.register(leaving, 'draining');
-    state.answers = await Promise.all(calls);
-    leavingReplicas.set(this, leaving);
+    fleet.register(leaving, 'draining');
+    await sent;
   },
 );
 
 When(
   'the first engine reports leaving, and {int} drafts are sent',
   async function (this: FleetWorld, count: number) {
-    const state = usersScenario(this);
-    const [leaving] = state.fleet.engines;
+    const [leaving] = usersScenario(this).fleet.engines;
     leaving.reportsLeaving = true;
-    const calls = Array.from({length: count}, () => state.fleet.call({path: '/draft/7'}));
-    state.answers = await Promise.all(calls);
-    leavingReplicas.set(this, leaving);
+    await sendDraftsBeside(this, leaving, count);
   },
 );
 
@@ -164,6 +171,7 @@
 });
 
 Then('the replicas without an entry got all of them', function (this: FleetWorld) {
-  const {services} = usersScenario(this).fleet;
-  assert.equal(services[0].runs.length + services[1].runs.length, ORDERS);
+  const {fleet, answers} = usersScenario(this);
+  const [first, second] = fleet.services;
+  assert.equal(first.runs.length + second.runs.length, answers.length);
 });
--- a/features/support/known_age.ts
+++ b/features/support/known_age.ts
@@ -19,6 +19,11 @@
 const MAX_DELAY_MS = 100_000;
 const BATCH_DELAY_MS = 2000;
 
+function storeClient(host: string, port: number): StoreClient {
+  const calls = new MetricRegistry().counter<StoreCall>('store_calls', 'Calls', 'call');
+  return new StoreClient({host, port}, calls);
+}
+
 /** A gateway's watcher between a stand-in store and relayed messages that the test sends. */
 class RelayedWatcher {
   /** Newest entry of the replica that the watcher knows. */
@@ -26,16 +31,12 @@
   /** For each change of an entry: true when it was held to be possibly due to an outage. */
   readonly afterOutage: boolean[] = [];
   readonly store = new MetadataStore();
-  storeLink!: LoopbackProxy;
   watcher!: FleetWatcher;
   private client!: StoreClient;
 
   async start(): Promise<void> {
     const [host, port] = (await this.store.listen()).split(':');
-    this.storeLink = new LoopbackProxy(host, Number(port));
-    await this.storeLink.listen(host);
-    const calls = new MetricRegistry().counter<StoreCall>('store_calls', 'Calls', 'call');
-    this.client = new StoreClient({host, port: this.storeLink.port}, calls);
+    this.client = storeClient(host, Number(port));
     const log = createLogger('test', 'late', 'error');
     this.watcher = new FleetWatcher(this.client, log, HEARTBEAT_MS, {
       onConfig: () => undefined,
@@ -88,7 +89,6 @@
 
   dispose(): void {
     this.watcher.dispose();
-    this.storeLink.close();
     this.store.close();
   }
 }
@@ -124,8 +124,7 @@
   const [host, port] = (await store.listen()).split(':');
   const link = new LoopbackProxy(host, Number(port));
   await link.listen(host);
-  const calls = new MetricRegistry().counter<StoreCall>('store_calls', 'Calls', 'call');
-  const client = new StoreClient({host, port: link.port}, calls);
+  const client = storeClient(host, link.port);
   const watch = () => client.watch('s', {era: 1, revision: 1}, 0, new AbortController().signal);
   await watch();
   await sleep(idleMs);
--- a/soak/leaving_soak.ts
+++ b/soak/leaving_soak.ts
@@ -6,15 +6,18 @@
 import {pause} from './soak_faults.ts';
 import type {SoakReport} from './soak_run.ts';
 
-type LeavingFaultKind =
-  | 'replicas drain'
-  | 'entries are removed'
-  | 'replicas are replaced'
-  | 'engines crash'
-  | 'engines flap'
-  | 'responses are lost'
-  | 'a gateway stands still'
-  | "the planner's gateway stands still";
+const KINDS = [
+  'replicas drain',
+  'entries are removed',
+  'replicas are replaced',
+  'engines crash',
+  'engines flap',
+  'responses are lost',
+  'a gateway stands still',
+  "the planner's gateway stands still",
+] as const;
+
+type LeavingFaultKind = (typeof KINDS)[number];
 
 interface LeavingFault {
   readonly kind: LeavingFaultKind;
@@ -31,16 +34,6 @@
   endMs: number;
 }
 
-const KINDS: readonly LeavingFaultKind[] = [
-  'replicas drain',
-  'entries are removed',
-  'replicas are replaced',
-  'engines crash',
-  'engines flap',
-  'responses are lost',
-  'a gateway stands still',
-  "the planner's gateway stands still",
-];
 const SERVICES = 3;
 const ENGINES = 24;
 const GATEWAYS = 20;
