--- a/packages/serving/src/lib/fleet_config.ts
+++ b/packages/serving/src/lib/fleet_config.ts
@@ -29,6 +29,32 @@
   /** Maximum number of replicas that one request may run on. */
   readonly maxAttempts: number;
   readonly resumable: boolean;
+  /** True when requests need no key, also where the configuration lists organisations. */
+  readonly anonymous: boolean;
+}
+
+/** What one unit of a quota is. @public */
+export type QuotaUnit = 'token' | 'request';
+
+/** Limit on the requests of an organisation, over all gateways together. @public */
+export interface Quota {
+  readonly unit: QuotaUnit;
+  /** Units per second. */
+  readonly perS: number;
+  /** Units that may be used at once after a pause. */
+  readonly burst: number;
+  /** Units of a request that states no tokens. */
+  readonly plainTokens: number;
+}
+
+/** A customer, whose requests carry one of its keys. @public */
+export interface Organisation {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+  /** Goes before the priority of the route; undefined when only the route's counts. */
+  readonly priority: number | undefined;
+  /** Undefined when its requests are not limited. */
+  readonly quota: Quota | undefined;
 }
 
 /** @public */
@@ -77,6 +103,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
   readonly limits: CallerLimits;
+  /** Undefined when requests need no key. */
+  readonly organisations: readonly Organisation[] | undefined;
 }
 
 /** Finds routes by host and path; built once per configuration. @public */
