Bundle only the parts of libraries that the programs use

Cause: a gateway or steward took 77 MB at its start, of which Node.js itself takes 39 MB. The bundle held all of undici (fetch, WebSocket, mocks), all locales of zod, and the WebAssembly and log formats of hdr-histogram-js. Change: bundles resolve undici and hdr-histogram-js to modules that export what is used; zod is imported as a namespace, so that unused exports are left out.

--- a/packages/caller/src/lib/completion_request.ts
+++ b/packages/caller/src/lib/completion_request.ts
@@ -1,5 +1,5 @@
 /** Validates the fields of a completion request that the system uses. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {err, ok, type Result} from '@jasminepost/core';
 
 const completionSchema = z.object({
--- a/packages/engine/src/lib/engine_client.ts
+++ b/packages/engine/src/lib/engine_client.ts
@@ -1,6 +1,6 @@
 /** Client for the state and orders of a model engine; see docs/contracts/engine.md. */
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {errorMessage, UpstreamError} from '@jasminepost/core';
 
 const CALL_TIMEOUT_MS = 1500;
--- a/packages/key_value/src/lib/claim_store.ts
+++ b/packages/key_value/src/lib/claim_store.ts
@@ -5,7 +5,7 @@
  * Only the attempt that wrote `running` may execute, a running record is never taken over, and
  * an attempt listed as cancelled can never run. See docs/design/at_most_once.md.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {fnv1a32, PlatformError, type Clock} from '@jasminepost/core';
 import type {KeyValueClient, KeyValueEntry} from './key_value_client.ts';
 import type {WriteOutcome} from './key_value_store.ts';
--- a/packages/key_value/src/lib/instance_list_client.ts
+++ b/packages/key_value/src/lib/instance_list_client.ts
@@ -1,6 +1,6 @@
 /** Client of the platform's instance list, which lags; see docs/contracts/instance_list.md. */
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {backoffMs, PlatformError, sleep} from '@jasminepost/core';
 
 const CALL_TIMEOUT_MS = 2000;
--- a/packages/key_value/src/lib/key_value_client.ts
+++ b/packages/key_value/src/lib/key_value_client.ts
@@ -1,5 +1,5 @@
 /** Client of the platform's key-value service; see docs/contracts/key_value.md. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {PlatformError, type CounterFamily} from '@jasminepost/core';
 import type {KeyValueStore, StoredEntry, WriteOutcome} from './key_value_store.ts';
 import {StoreHttpClient, type StoreCallOptions} from './store_http_client.ts';
--- a/packages/key_value/src/lib/leader_lease.ts
+++ b/packages/key_value/src/lib/leader_lease.ts
@@ -1,5 +1,5 @@
 /** Leader election: at most one process holds a role at a time, with a term that only increases. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {errorMessage, RepeatingTask, type Clock, type Logger} from '@jasminepost/core';
 import type {KeyValueStore} from './key_value_store.ts';
 
--- a/packages/key_value/src/lib/plan_document.ts
+++ b/packages/key_value/src/lib/plan_document.ts
@@ -1,5 +1,5 @@
 /** The placement plan: which models each replica loads, split into shards by replica. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {fnv1a32} from '@jasminepost/core';
 
 const planSchema = z.object({
--- a/packages/mesh/src/lib/crash_news.ts
+++ b/packages/mesh/src/lib/crash_news.ts
@@ -1,5 +1,5 @@
 /** Message in which gateways share which requests coincided with replica failures. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_REQUESTS = 16_384;
 const MAX_ENDINGS = 4096;
--- a/packages/mesh/src/lib/limit_messages.ts
+++ b/packages/mesh/src/lib/limit_messages.ts
@@ -1,5 +1,5 @@
 /** Messages between gateways about rate-limited replicas. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_REPLICAS = 4096;
 const MAX_PERMITS = 64;
--- a/packages/mesh/src/lib/messages.ts
+++ b/packages/mesh/src/lib/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of this system, and their validation. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   COMPLETED_REASONS,
   err,
--- a/packages/mesh/src/lib/store_messages.ts
+++ b/packages/mesh/src/lib/store_messages.ts
@@ -1,5 +1,5 @@
 /** Messages in which the planner's gateway relays changes in the store. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_NAME = 256;
 const name = z.string().min(1).max(MAX_NAME);
--- a/packages/operator/src/lib/config_document.ts
+++ b/packages/operator/src/lib/config_document.ts
@@ -1,5 +1,5 @@
 /** Configuration document: a declaration with a monotonically increasing generation. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {err, errorMessage, ok, sha256Hex, type Result} from '@jasminepost/core';
 import {declarationSchema, type Declaration} from './declaration.ts';
 
--- a/packages/operator/src/lib/declaration.ts
+++ b/packages/operator/src/lib/declaration.ts
@@ -1,5 +1,5 @@
 /** Schema of the declaration of organisations, models and services, kept in version control. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {DeclarationError, type DeclarationIssue} from '@jasminepost/core';
 
 const nameSchema = z
--- a/packages/operator/src/lib/questionnaire.ts
+++ b/packages/operator/src/lib/questionnaire.ts
@@ -1,5 +1,5 @@
 /** Questionnaire for a new team, and the declaration generated from its answers. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {DeclarationError} from '@jasminepost/core';
 import {parseJson, toDeclarationIssue, type Declaration} from './declaration.ts';
 
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,7 @@
 // Bundles each program into dist/; npm packages stay external, unless JASMINEPOST_BUNDLE is 1.
 import {build} from 'esbuild';
 import {readdirSync, readFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
 
 // A deployment includes the npm packages; runs in the repository use those in node_modules.
 const bundled = process.env.JASMINEPOST_BUNDLE === '1';
@@ -52,6 +53,17 @@
   },
 };
 
+/** Replaces libraries of which the programs use a small part, in bundles only. */
+const librarySubsets = {
+  name: 'library-subsets',
+  setup(ctx) {
+    const subsets = {undici: 'undici.cjs', 'hdr-histogram-js': 'hdr_histogram.cjs'};
+    ctx.onResolve({filter: /^(undici|hdr-histogram-js)$/}, args => ({
+      path: fileURLToPath(new URL(`bundle/${subsets[args.path]}`, import.meta.url)),
+    }));
+  },
+};
+
 await build({
   entryPoints,
   outdir: process.env.JASMINEPOST_DIST ?? 'dist',
@@ -68,5 +80,5 @@
   minifySyntax: bundled,
   logLevel: 'warning',
   banner: {js: bundled ? BUNDLE_BANNER : '#!/usr/bin/env node'},
-  plugins: bundled ? [applyMutant] : [applyMutant, externalPackages],
+  plugins: bundled ? [applyMutant, librarySubsets] : [applyMutant, externalPackages],
 });
