Choose replicas by the pace that they report

Cause: replicas of some services report a fourth figure of their load, the time that work takes there as a percentage of the usual. Change: the pace is decoded, averaged with weight by age and corrected by measured times (replica_pace.ts); it scales the expected time of a request at each candidate. Without a reported pace nothing changes.

--- a/apps/gateway/src/lib/engine_selector.ts
+++ b/apps/gateway/src/lib/engine_selector.ts
@@ -165,6 +165,7 @@
       prefixHash: last === undefined ? 0 : fnv1a32(`${model}/${adapter}/${last.id}`),
       adapterHash: adapter === '' ? 0 : fnv1a32(`${model}/${adapter}`),
       prefixSavingMs: this.ctx.estimator.estimateMs(model, savedTokens),
+      prefillMs: this.ctx.estimator.estimateMs(model, tokensIn),
       tokens: tokensIn + maxTokensOut,
       maxBacklogMs: MAX_BACKLOG_MS,
     };
--- a/apps/gateway/src/lib/generation_queue.ts
+++ b/apps/gateway/src/lib/generation_queue.ts
@@ -270,6 +270,7 @@
       occupied: candidate.active,
       kvUsed: candidate.kvUsed,
       prefillMs: Math.round(candidate.prefillMs),
+      pace: candidate.pace,
     });
   }
 
--- a/apps/gateway/src/lib/incarnation_records.ts
+++ b/apps/gateway/src/lib/incarnation_records.ts
@@ -3,6 +3,7 @@
   INITIAL_AVAILABILITY,
   NO_RATE_LIMIT,
   type ReplicaAvailability,
+  type ReplicaPace,
   type ReplicaRateLimit,
 } from '@jasminepost/policy';
 
@@ -13,6 +14,8 @@
 export interface IncarnationRecord {
   availability: ReplicaAvailability;
   limit: ReplicaRateLimit;
+  /** Undefined before its first report. */
+  pace?: ReplicaPace;
 }
 
 /**
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -3,7 +3,10 @@
 import type {EngineLoadMessage, EngineStateMessage} from '@jasminepost/mesh';
 import type {ReplicaClient, ReportedLoad} from '@jasminepost/platform';
 import {
+  correctPace,
   eligibilityOf,
+  expectedPace,
+  nextPace,
   nextRateLimit,
   nextAvailability,
   remainingPauseMs,
@@ -210,6 +213,19 @@
     this.responseLoad = load;
     this.responseLoadMs = nowMs;
     this.inFlightAtResponseLoad = this.inFlight;
+    if (load.pace !== undefined) this.learned.pace = nextPace(this.learned.pace, load.pace, nowMs);
+  }
+
+  /** Factor of the usual time that work takes there; undefined before its first report. */
+  paceAt(nowMs: number): number | undefined {
+    const {pace} = this.learned;
+    return pace === undefined ? undefined : expectedPace(pace, nowMs);
+  }
+
+  /** Compares a measured time with the time that the work takes at the usual pace. */
+  onWorkMeasured(usualMs: number, measuredMs: number): void {
+    const {pace} = this.learned;
+    if (pace !== undefined) this.learned.pace = correctPace(pace, usualMs, measuredMs);
   }
 
   /** Records a response that came from this replica and not from another at its address. */
@@ -262,17 +278,22 @@
       kvUsed: estimateNow('kvTokens', recentLoad?.kvUsed ?? 0),
       kvTotal: recentLoad?.kvTotal ?? Number.POSITIVE_INFINITY,
       prefillMs: this.prefillMs,
+      pace: this.paceAt(nowMs),
     };
   }
 
-  asRouteCandidate(): RouteCandidate {
+  asRouteCandidate(nowMs: number): RouteCandidate {
+    const {pace} = this.learned;
+    const paceRatio =
+      pace === undefined ? 1 : expectedPace({...pace, correction: 1}, nowMs) / pace.mean;
     return {
       id: this.id,
       idHash: this.idHash,
       zone: this.entry.zone,
       reportedPaid: (this.responseLoad?.running ?? 0) + (this.responseLoad?.waiting ?? 0),
       reportedTrial: 0,
-      serviceMs: this.serviceMs,
+      serviceMs: this.serviceMs * paceRatio,
+      reportsPace: pace !== undefined,
       reportedMs: this.responseLoadMs,
       ownInFlight: this.inFlight,
       ownAtReport: this.inFlightAtResponseLoad,
--- a/apps/gateway/src/lib/response_head.ts
+++ b/apps/gateway/src/lib/response_head.ts
@@ -70,7 +70,11 @@
   if (generation !== undefined) {
     attempt.replica.recordPrefill(elapsedMs / (attempt.awaitingBefore + 1));
     if (attempt.awaitingBefore === 0) {
-      ctx.estimator.addSample(generation.model, generation.tokensIn, elapsedMs);
+      const {model, tokensIn} = generation;
+      const {replica} = attempt;
+      const pace = replica.paceAt(nowMs) ?? 1;
+      replica.onWorkMeasured(ctx.estimator.estimateMs(model, tokensIn), elapsedMs);
+      ctx.estimator.addSample(model, tokensIn, elapsedMs / pace);
     }
   }
   ctx.generations.scheduleDispatch();
--- a/apps/gateway/src/lib/service_choice.ts
+++ b/apps/gateway/src/lib/service_choice.ts
@@ -61,14 +61,14 @@
   const remaining = accepting.filter(replica => !excluded.has(replica.incarnation));
   const limited = remaining.filter(replica => replica.limit.kind === 'named');
   const unlimited = remaining.filter(replica => replica.limit.kind === 'none');
-  const isFull = unlimited.every(replica => isSaturated(replica.asRouteCandidate(), req));
+  const isFull = unlimited.every(replica => isSaturated(replica.asRouteCandidate(nowMs), req));
   if (isFull && limited.length > 0) ctx.limits.requestPermits(limited, ahead + 1);
   const permitted = isFull ? limited.filter(replica => ctx.limits.hasPermit(replica)) : [];
   const replicas = [...unlimited, ...permitted];
   if (replicas.length === 0 && limited.length > 0) {
     return {kind: 'limited', replicas: limited, listed};
   }
-  const candidates = replicas.map(replica => replica.asRouteCandidate());
+  const candidates = replicas.map(replica => replica.asRouteCandidate(nowMs));
   const choice = chooseReplica(candidates, req, Math.random);
   if (choice.kind === 'none') return {kind: 'none', listed};
   const {index} = choice;
--- a/features/support/engine_replay.ts
+++ b/features/support/engine_replay.ts
@@ -299,6 +299,7 @@
       prefixHash: 0,
       adapterHash: 0,
       prefixSavingMs: 0,
+      prefillMs: PREFILL_MS,
       tokens: 2000,
       maxBacklogMs: MAX_BACKLOG_MS,
     });
@@ -343,5 +344,6 @@
     kvUsed: 0,
     kvTotal: 1_000_000,
     prefillMs: PREFILL_MS,
+    pace: undefined,
   };
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -91,6 +91,7 @@
   type AvailabilityEvent,
 } from './lib/replica_availability.ts';
 export {PermitPool, type PermitRequest} from './lib/permit_pool.ts';
+export {correctPace, expectedPace, nextPace, type ReplicaPace} from './lib/replica_pace.ts';
 export {PermitIssuer, type PermitGrant} from './lib/permit_issuer.ts';
 export {
   NO_RATE_LIMIT,
--- a/packages/policy/src/lib/engine_choice.ts
+++ b/packages/policy/src/lib/engine_choice.ts
@@ -16,6 +16,8 @@
   readonly kvTotal: number;
   /** Mean prefill time of one of the requests that have had no first event yet. */
   readonly prefillMs: number;
+  /** Factor of the usual time that work takes there; undefined where replicas don't report it. */
+  readonly pace: number | undefined;
 }
 
 /** @public */
@@ -27,6 +29,8 @@
   readonly adapterHash: number;
   /** Prefill time that a cached prefix saves. */
   readonly prefixSavingMs: number;
+  /** Expected prefill time of the request on an idle replica of the usual pace. */
+  readonly prefillMs: number;
   readonly tokens: number;
   /** Longest backlog at which a replica still gets requests. */
   readonly maxBacklogMs: number;
@@ -75,7 +79,10 @@
     const candidate = candidates[index];
     const backlogMs = candidate.awaitingFirstEvent * candidate.prefillMs;
     if (!hasCapacity(candidate, request, backlogMs)) continue;
-    let cost = backlogMs + candidate.active * CONCURRENCY_COST_MS;
+    const {pace = 1} = candidate;
+    let cost = backlogMs + candidate.active * CONCURRENCY_COST_MS * pace;
+    // Without a reported pace, the request's own prefill counts as the same on every replica.
+    if (candidate.pace !== undefined) cost += request.prefillMs * pace;
     if (candidate.zone !== request.zone) cost += CROSS_ZONE_COST_MS;
     if (request.adapterHash !== 0 && !candidate.hasAdapter) cost += ADAPTER_LOAD_MS;
     if (index === prefixAffinityIndex) cost -= request.prefixSavingMs;
--- a/packages/policy/src/lib/routing.ts
+++ b/packages/policy/src/lib/routing.ts
@@ -16,6 +16,8 @@
   readonly reportedTrial: number;
   /** Mean time that a request occupies a slot there, in milliseconds. */
   readonly serviceMs: number;
+  /** True when that time includes the pace that the replica reports. */
+  readonly reportsPace?: boolean;
   /** Monotonic time at which the report arrived. */
   readonly reportedMs: number;
   /** Requests of this process in progress there: now, and when the report arrived. */
@@ -129,7 +131,8 @@
   const waitMs = (excess / candidate.slots) * candidate.serviceMs;
   const occupancyCostMs = (occupancy / candidate.slots) * OCCUPANCY_COST_MS;
   const networkMs = candidate.zone === req.zone ? 0 : req.crossZoneMs;
-  return waitMs + occupancyCostMs + networkMs - (preferred ? req.prefixSavingMs : 0);
+  const ownMs = candidate.reportsPace ? candidate.serviceMs : 0;
+  return waitMs + ownMs + occupancyCostMs + networkMs - (preferred ? req.prefixSavingMs : 0);
 }
 
 /**
