--- a/apps/gateway/src/lib/planner.ts
+++ b/apps/gateway/src/lib/planner.ts
@@ -285,6 +285,7 @@
       inMemory: new Set(replica.copies.inMemory),
       onDisk: new Set(replica.copies.onDisk),
       capacity: replica.capacity,
+      pace: replica.usualPace,
     };
   }
 
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -222,6 +222,12 @@
     return pace === undefined ? undefined : expectedPace(pace, nowMs);
   }
 
+  /** Average factor of the usual time that work takes there; 1 before its first report. */
+  get usualPace(): number {
+    const {pace} = this.learned;
+    return pace === undefined ? 1 : pace.mean * pace.correction;
+  }
+
   /** Compares a measured time with the time that the work takes at the usual pace. */
   onWorkMeasured(usualMs: number, measuredMs: number): void {
     const {pace} = this.learned;
--- a/features/support/cached_weights_planning.ts
+++ b/features/support/cached_weights_planning.ts
@@ -17,6 +17,7 @@
     id: `r${index}`,
     held: new Set(index < MODELS ? [`m${index}`] : []),
     capacity: Number.POSITIVE_INFINITY,
+    pace: 1,
     onDisk: new Set<string>(),
   }));
   for (let round = 0; round < ROUNDS; round++) {
@@ -31,6 +32,7 @@
         inMemory: new Set<string>(),
         onDisk,
         capacity: Number.POSITIVE_INFINITY,
+        pace: 1,
       })),
       models: Array.from({length: MODELS}, (_, index) => modelOf(index, storeS, diskS)),
       availableStoreLoads: MAX_STORE_LOADS,
--- a/features/support/engine_replay.ts
+++ b/features/support/engine_replay.ts
@@ -193,6 +193,7 @@
         inMemory: new Set<string>(),
         onDisk: replica.disk,
         capacity: this.capacityOf(replica),
+        pace: 1,
       })),
       models: this.demand.map((demand, model) => this.planModel(model, demand)),
       availableStoreLoads: MAX_STORE_LOADS - this.storeLoads.length,
--- a/packages/policy/src/lib/engine_plan.ts
+++ b/packages/policy/src/lib/engine_plan.ts
@@ -17,6 +17,8 @@
   readonly onDisk: ReadonlySet<string>;
   /** Load that it can serve; infinity unless it has a rate limit. */
   readonly capacity: number;
+  /** Usual factor of the time that work takes there; 1 where it is not known. */
+  readonly pace: number;
 }
 
 /** @public */
--- a/packages/policy/src/lib/engine_planning_round.ts
+++ b/packages/policy/src/lib/engine_planning_round.ts
@@ -56,6 +56,10 @@
 const PARTIALLY_SERVED_WEIGHT = 2;
 /** Cost of placing a model on a rate-limited replica, which accepts only some requests. */
 const RATE_LIMITED_REPLICA_COST = 2;
+/**
+ * Cost of a replica on which work takes twice as long: streams there are late behind fewer prompts.
+ */
+const DOUBLE_PACE_COST = 0.3;
 /** Smallest gain that justifies a move. */
 const MIN_GAIN = 0.05;
 /** Value of a copy in an availability zone that has none. */
@@ -247,7 +251,8 @@
         candidate.value -
         eviction.cost -
         loadCost(candidate, source) -
-        this.competingLoad(replica) -
+        this.competingLoad(replica) * replica.pace -
+        DOUBLE_PACE_COST * (replica.pace - 1) -
         (isRateLimited(replica) ? RATE_LIMITED_REPLICA_COST : 0) +
         (this.hasCopyInZone(replica.zone, candidate.model.name) ? 0 : NEW_ZONE_VALUE);
       if (gain <= bestGain) continue;
