Check the keys of organisations at the gateway

Cause: where a configuration lists organisations, requests need a valid key, and replicas must be told the organisation but never see a key. Change: OrganisationDirectory finds the organisation by the digest of a key. CallerServer answers 401 before it reads a body, or 503 while its configuration may be outdated (rejectionWithoutKey). Replicas get Tenant as set by the gateway. The organisation's priority goes before the route's in the queue and on replicas. Each rejected request has one log line with the age of the configuration.

--- a/apps/gateway/src/lib/active_config.ts
+++ b/apps/gateway/src/lib/active_config.ts
@@ -52,6 +52,7 @@
       era,
       revision,
       routes: config.routes.length,
+      organisations: config.organisations?.length,
       chars: text.length,
       tookMs: Math.round(performance.now() - startedMs),
     });
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -1,7 +1,7 @@
 /** Life cycle of one caller's request, from its arrival to the final response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {onCallerDisconnect} from '@jasminepost/caller';
-import {assertNever, mayHaveRun, errorMessage, notRun, type Verdict} from '@jasminepost/core';
+import {assertNever, mayHaveRun, errorMessage, notRun} from '@jasminepost/core';
 import {
   retryAfterHeader,
   type CallerHeaders,
@@ -21,30 +21,28 @@
 import {ResponseRelay, sendLocalResponse} from './response_relay.ts';
 import {Attempt} from './attempt.ts';
 import {isFromOtherReplica, recordFirstEvent, recordResponseHead} from './response_head.ts';
-import {RequestLog} from './request_log.ts';
+import {RequestLog, type AttemptFailure} from './request_log.ts';
 import {notSent, outgoingRequest} from './outgoing_request.ts';
-import {MIN_SERVICE_MS, scheduleRequest} from './request_schedule.ts';
+import {isDelayTolerant, MIN_SERVICE_MS, scheduleRequest} from './request_schedule.ts';
 import {StreamVersionGate} from './stream_version_gate.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RequestContent} from './crash_suspects.ts';
 import type {QueuedGeneration} from './generation_queue.ts';
+import type {AcceptedCaller} from './key_gate.ts';
 import type {GatewayContext} from './gateway_context.ts';
 import type {RequestOutcome} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
 
 /** Maximum number of sends of a request that no replica has run. */
 const MAX_NOT_RUN_SENDS = 3;
-/** From this target latency on there is time to load a model from a replica's disk. */
-const DELAY_TOLERANT_TARGET_MS = 3500;
 const DEFAULT_RETRY_AFTER_MS = 300;
 
-/** Why an attempt failed, and whether the request may have run. */
-type AttemptFailure = Readonly<{verdict: Verdict; detail: string}>;
-
 /** @internal */
 export class CallerRequest implements QueuedGeneration {
   readonly arrivedMs: number;
   readonly service: string;
+  readonly organisation: AcceptedCaller['organisation'];
+  readonly organisationPriority: number | undefined;
   readonly priority: number;
   readonly sendByMs: number;
   readonly abandonedMs: number;
@@ -75,21 +73,23 @@
     private readonly res: ServerResponse,
     private readonly route: Route,
     private readonly head: CallerHeaders,
+    private readonly caller: AcceptedCaller,
     body: Buffer,
     startedMs: number,
   ) {
     this.arrivedMs = startedMs;
-    this.content = {method: req.method ?? 'GET', path: req.url ?? '/', body};
-    this.log = new RequestLog(ctx, head, route, startedMs);
+    const {method = 'GET', url: path = '/'} = req;
+    this.content = {method, path, body};
+    this.log = new RequestLog(ctx, head, route, startedMs, caller.organisation?.name);
     this.crashGate = new CrashGate(ctx.crashes, this.content, sharedPartIds(this.generation));
     this.service = selectBackend(route, head.requestId);
-    this.versionGate = new StreamVersionGate(ctx, head, route, this.service, () =>
-      this.releaseHeldEvents(),
-    );
+    const onRecorded = () => this.releaseHeldEvents();
+    this.versionGate = new StreamVersionGate(ctx, head, route, this.service, onRecorded);
+    this.organisation = caller.organisation;
+    this.organisationPriority = caller.priority;
     this.priority = route.priority;
-    this.isDelayTolerant = route.targetLatencyMs >= DELAY_TOLERANT_TARGET_MS;
+    this.isDelayTolerant = isDelayTolerant(route);
     this.isRetryable = route.kind === 'idempotent' || route.resumable;
-    const {method = ''} = req;
     const onEvicted = () => setImmediate(() => this.checkEvents());
     this.relay = new ResponseRelay(res, method, route.resumable, ctx.eventMemory, onEvicted);
     const times = scheduleRequest(ctx, head, route, startedMs);
@@ -139,6 +139,7 @@
         leftMs: this.deadlineMs - nowMs,
         urgency: this.head.generation === undefined ? undefined : enginePriority(this),
         lastEventId: this.relay.lastEventId,
+        caller: this.caller.identity,
       }),
       {
         onHead: head => {
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -2,18 +2,25 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {readBody, RequestSequence} from '@jasminepost/caller';
 import {assertNever, listenOn, errorMessage, type HostPort} from '@jasminepost/core';
-import {parseCallerHeaders, retryAfterHeader} from '@jasminepost/platform';
-import type {RouteTable} from '@jasminepost/serving';
+import {KEY_CHALLENGE, parseCallerHeaders, retryAfterHeader} from '@jasminepost/platform';
+import {
+  rejectionWithoutKey,
+  settleKeyCheck,
+  type AcceptedKey,
+  type KeyFault,
+} from '@jasminepost/policy';
+import {RouteTable, type FleetConfig, type Organisation} from '@jasminepost/serving';
 import {sendLocalResponse} from './response_relay.ts';
 import {CallerRequest} from './caller_request.ts';
 import {LEAVING_RETRY_AFTER_MS} from './generation_queue.ts';
 import type {GatewayContext} from './gateway_context.ts';
+import {acceptedCaller, KeyGate} from './key_gate.ts';
 
 /** Largest request head that the parser accepts; the configured limit is lower. */
 const MAX_HEADER_BYTES = 64 * 1024;
 /** Longest time for which a request waits for the first configuration. */
 const FIRST_CONFIG_WAIT_MS = 400;
-/** Time within which a gateway without a configuration has usually read one. */
+/** Time within which a gateway without the newest configuration has usually read it. */
 const NO_CONFIG_RETRY_AFTER_MS = 800;
 const RETRY_AFTER_JITTER_MS = 200;
 /** Backlog of connections that have not been accepted yet. */
@@ -28,6 +35,7 @@
     onFollowed: () => undefined,
   });
   private routes: RouteTable | undefined;
+  private readonly keys = new KeyGate();
   /** Number of requests whose body is being read. */
   private readingBodies = 0;
   /** Callbacks of the requests that wait for the first configuration. */
@@ -53,9 +61,10 @@
   }
 
   /** Activates a configuration for all requests that are routed from now on. */
-  applyRoutes(routes: RouteTable): void {
-    this.routes = routes;
-    const {limits} = routes.config;
+  applyConfig(config: FleetConfig): void {
+    this.routes = new RouteTable(config);
+    this.keys.applyOrganisations(config.organisations, this.ctx().log);
+    const {limits} = config;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
     this.server.headersTimeout = limits.headerTimeoutMs;
     for (const resume of [...this.awaitingConfig]) resume();
@@ -101,15 +110,18 @@
       this.reject(req, res, 431, 'headers_too_large');
       return;
     }
-    void this.readRequest(req, res, limits.bodyBytes, startedMs);
+    const route = routes.find(...hostAndPath(req));
+    const key = route === undefined ? undefined : this.keys.check(route, req.rawHeaders);
+    if (key?.kind === 'unidentified') {
+      this.rejectWithoutKey(req, res, key.fault);
+      return;
+    }
+    void this.readRequest(req, res, limits.bodyBytes, startedMs, key);
   }
 
   /** Holds a request until the first configuration, which is expected shortly after the start. */
   private deferUntilConfigured(req: IncomingMessage, res: ServerResponse, startedMs: number): void {
-    const refuse = () => {
-      const retryAfterMs = NO_CONFIG_RETRY_AFTER_MS + Math.random() * RETRY_AFTER_JITTER_MS;
-      this.refuse(req, res, 'no_configuration', retryAfterMs);
-    };
+    const refuse = () => this.refuse(req, res, 'no_configuration', configRetryAfterMs());
     if (!this.ctx().isStarting()) {
       refuse();
       return;
@@ -129,13 +141,14 @@
     res: ServerResponse,
     maxBytes: number,
     startedMs: number,
+    key: AcceptedKey<Organisation> | undefined,
   ): Promise<void> {
     this.readingBodies += 1;
     const body = await readBody(req, maxBytes);
     this.readingBodies -= 1;
     switch (body.kind) {
       case 'read':
-        this.startRequest(req, res, body.bytes, startedMs);
+        this.startRequest(req, res, body.bytes, startedMs, key);
         return;
       case 'too_large':
         this.reject(req, res, 413, 'body_too_large');
@@ -152,10 +165,10 @@
     res: ServerResponse,
     body: Buffer,
     startedMs: number,
+    acceptedKey: AcceptedKey<Organisation> | undefined,
   ): void {
     const ctx = this.ctx();
-    const host = (req.headers.host ?? '').toLowerCase().replace(/:\d+$/, '');
-    const path = (req.url ?? '/').split('?', 1)[0];
+    const [host, path] = hostAndPath(req);
     // Uses the newest configuration, which may have arrived while the body was being read.
     const route = this.routes?.find(host, path);
     if (route === undefined) {
@@ -169,8 +182,14 @@
       sendLocalResponse(res, 404, 'no_route', ctx.endsConnection(req));
       return;
     }
+    const key = settleKeyCheck(acceptedKey, this.keys.check(route, req.rawHeaders));
+    if (key.kind === 'unidentified') {
+      this.rejectWithoutKey(req, res, key.fault);
+      return;
+    }
     const head = parseCallerHeaders(req.headers);
-    const request = new CallerRequest(ctx, req, res, route, head, body, startedMs);
+    const caller = acceptedCaller(key);
+    const request = new CallerRequest(ctx, req, res, route, head, caller, body, startedMs);
     this.running.add(request);
     try {
       request.start();
@@ -184,14 +203,38 @@
     }
   }
 
+  /** Rejects a request without a valid key, or refuses it where its key may be valid by now. */
+  private rejectWithoutKey(req: IncomingMessage, res: ServerResponse, fault: KeyFault): void {
+    const ctx = this.ctx();
+    const currency = ctx.configCurrency();
+    const reason = rejectionWithoutKey(currency);
+    const logFields = {
+      fault,
+      config: ctx.configVersion(),
+      configAgeMs: Math.round(currency.ageMs),
+      isNewerAnnounced: currency.isNewerAnnounced,
+    };
+    switch (reason) {
+      case 'unauthenticated':
+        this.reject(req, res, 401, reason, KEY_CHALLENGE, logFields);
+        return;
+      case 'config_outdated':
+        this.refuse(req, res, reason, configRetryAfterMs(), logFields);
+        return;
+      default:
+        assertNever(reason);
+    }
+  }
+
   /** Refuses a request as not run; the caller may retry it. */
   private refuse(
     req: IncomingMessage,
     res: ServerResponse,
     reason: string,
     retryAfterMs: number,
+    logFields: Readonly<Record<string, unknown>> = {},
   ): void {
-    this.reject(req, res, 503, reason, retryAfterHeader(retryAfterMs));
+    this.reject(req, res, 503, reason, retryAfterHeader(retryAfterMs), logFields);
   }
 
   private reject(
@@ -200,13 +243,16 @@
     status: number,
     reason: string,
     headers: Readonly<Record<string, string>> = {},
+    logFields: Readonly<Record<string, unknown>> = {},
   ): void {
     const ctx = this.ctx();
     ctx.metrics.endings.increment('rejected');
+    ctx.metrics.rejections.increment(reason);
     ctx.log.info('request rejected', {
       requestId: parseCallerHeaders(req.headers).requestId,
       status,
       reason,
+      ...logFields,
     });
     const endsConnection = ctx.endsConnection(req) || status === 413;
     sendLocalResponse(res, status, reason, endsConnection, headers);
@@ -214,6 +260,15 @@
   }
 }
 
+function configRetryAfterMs(): number {
+  return NO_CONFIG_RETRY_AFTER_MS + Math.random() * RETRY_AFTER_JITTER_MS;
+}
+
+function hostAndPath({headers, url = '/'}: IncomingMessage): [host: string, path: string] {
+  const host = (headers.host ?? '').toLowerCase().replace(/:\d+$/, '');
+  return [host, url.split('?', 1)[0]];
+}
+
 function headBytes(req: IncomingMessage): number {
   let bytes = 0;
   for (const part of req.rawHeaders) bytes += part.length + 2;
--- a/apps/gateway/src/lib/fleet_watcher.ts
+++ b/apps/gateway/src/lib/fleet_watcher.ts
@@ -36,6 +36,8 @@
 const CHECK_INTERVAL_MS = 100;
 /** A configuration older than that of the planner's gateway is read again after this. */
 const MAX_CONFIG_LAG_MS = 400;
+/** Time after which a response to the configuration watch brings a configuration, as others are short. */
+const SHORT_RESPONSE_MS = 100;
 /**
  * Delay before the next watch, so that one call returns a batch of changes. It grows with the
  * number of gateways that watch the store. A drain or a configuration must be noticed within 2 s.
@@ -87,6 +89,8 @@
   private wasRelayed = false;
   /** Revision at which the last configuration read here was written. */
   private configRevision = 0;
+  /** Newest such revision that the planner's gateway has reported; 0 before the first. */
+  private announcedConfigRevision = 0;
   /** Since when the planner's gateway has been known to have a newer configuration. */
   private configBehindSinceMs: number | undefined;
   /** Number of gateways last reported by the planner's gateway; 0 before its first message. */
@@ -142,6 +146,23 @@
     return this.fleetKeys.contactAgeMs;
   }
 
+  /**
+   * Time since the last configuration read here was known to be the newest. While changes are
+   * relayed, this is the age of the newest revision that the planner's gateway has reported.
+   */
+  get configAgeMs(): number {
+    const {config, contactAgeMs} = this;
+    if (this.isRelayed || config.isConnected) return contactAgeMs;
+    return Math.max(contactAgeMs, config.contactAgeMs);
+  }
+
+  /** True when a newer configuration is known to exist, or may exist, that has not been read. */
+  get isNewerConfigAnnounced(): boolean {
+    const {config, configRevision, announcedConfigRevision} = this;
+    if (config.revision < 0 || config.receivingMs > SHORT_RESPONSE_MS) return true;
+    return announcedConfigRevision > configRevision;
+  }
+
   start(): void {
     this.fleetKeys.start();
     this.config.start();
@@ -174,6 +195,7 @@
   /** Handles that the store was restored from an older copy: reads all keys again. */
   onStoreRestored(): void {
     this.configRevision = 0;
+    this.announcedConfigRevision = 0;
     this.fleetKeys.resync();
     this.config.resync();
   }
@@ -241,6 +263,7 @@
   /** A silent connection is detected only by what other gateways have received since. */
   private checkConfigRevision(newestRevision: number): void {
     const {config, configRevision} = this;
+    this.announcedConfigRevision = Math.max(this.announcedConfigRevision, newestRevision);
     if (newestRevision <= configRevision || config.isReceiving)
       this.configBehindSinceMs = undefined;
     else this.configBehindSinceMs ??= performance.now();
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -1,7 +1,12 @@
 /** Parts of the gateway that the handling of a caller's request depends on. */
 import type {IncomingMessage} from 'node:http';
 import type {BufferBudget, Clock, Logger, UnreadHeaderCounter} from '@jasminepost/core';
-import type {PriorWaitEstimator, StreamVersions, WindowedRetryBudget} from '@jasminepost/policy';
+import type {
+  ConfigCurrency,
+  PriorWaitEstimator,
+  StreamVersions,
+  WindowedRetryBudget,
+} from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
 import type {CallerRequest} from './caller_request.ts';
 import type {CrashDetector} from './crash_detector.ts';
@@ -41,6 +46,8 @@
   gateways(): number;
   /** Version of the active configuration; 0 before the first. */
   configVersion(): number;
+  /** What is known of the age of the active configuration. */
+  configCurrency(): ConfigCurrency;
   /** Time since the list of replicas was last known to be current. */
   listAgeMs(): number;
   /** False while a newer list of replicas is awaited; see `ListAgeLimit`. */
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -27,6 +27,7 @@
   readonly registry: MetricRegistry;
   readonly endings: CounterFamily<RequestOutcome>;
   readonly refusals: CounterFamily<string>;
+  readonly rejections: CounterFamily<string>;
   readonly attemptFailures: CounterFamily<string>;
   readonly retries: CounterFamily<string>;
   readonly placements: CounterFamily<string>;
@@ -68,6 +69,7 @@
     registry,
     endings: registry.counter('endings', 'Requests by how they ended', 'ending'),
     refusals: registry.counter('refusals', 'Requests refused as not run, by reason', 'reason'),
+    rejections: registry.counter('rejections', 'Requests answered on arrival, by reason', 'reason'),
     attemptFailures: registry.counter('attempt_failures', 'Failed attempts', 'reason'),
     retries: registry.counter('retries', 'Requests sent once more, by reason', 'reason'),
     placements: registry.counter('placements', 'Models placed, by source of weights', 'source'),
--- a/apps/gateway/src/lib/generation_queue.ts
+++ b/apps/gateway/src/lib/generation_queue.ts
@@ -51,7 +51,7 @@
   renewLoadSubscription(replica: Replica): void;
 }
 
-/** Queued requests for one model at one priority; more urgent requests reduce their drain rate. */
+/** Queued requests for one model at one level; more urgent requests reduce their drain rate. */
 interface PriorityLevel {
   length: number;
   readonly drainRate: DrainRateEstimator;
@@ -64,7 +64,7 @@
   /** Requests that are submitted once a newer list is known; no replica's load makes them wait. */
   private readonly awaitingList = new Set<QueuedGeneration>();
   /** Priority levels of each `service/model`. */
-  private readonly levelsByModel = new Map<string, Map<number, PriorityLevel>>();
+  private readonly levelsByModel = new Map<string, Map<string, PriorityLevel>>();
   private recheckTimer: NodeJS.Timeout | undefined;
   private isDispatchScheduled = false;
 
@@ -287,7 +287,7 @@
       if (outcome === 'adapter' || modelKeyOf(other) !== model) continue;
       if (compareQueuedRequests(other, request, nowMs) > 0) continue;
       counts.ahead += 1;
-      if (other.priority === request.priority) counts.aheadAtPriority += 1;
+      if (levelKeyOf(other) === levelKeyOf(request)) counts.aheadAtPriority += 1;
     }
     return counts;
   }
@@ -301,14 +301,14 @@
 
   private levelOf(request: QueuedGeneration): PriorityLevel {
     const key = modelKeyOf(request);
-    const levels = this.levelsByModel.get(key) ?? new Map<number, PriorityLevel>();
+    const levels = this.levelsByModel.get(key) ?? new Map<string, PriorityLevel>();
     this.levelsByModel.set(key, levels);
-    let level = levels.get(request.priority);
+    let level = levels.get(levelKeyOf(request));
     if (level === undefined) {
       const {model, tokensIn} = request.generation;
       const drainRate = new DrainRateEstimator(this.ctx.estimator.estimateMs(model, tokensIn));
       level = {length: 0, drainRate};
-      levels.set(request.priority, level);
+      levels.set(levelKeyOf(request), level);
     }
     return level;
   }
@@ -334,6 +334,11 @@
   }
 }
 
+/** Requests with the same key are of one organisation's priority and one of their own. */
+function levelKeyOf({organisationPriority, priority}: QueuedGeneration): string {
+  return `${organisationPriority ?? 0}/${priority}`;
+}
+
 function modelKeyOf({service, generation}: QueuedGeneration): string {
   return `${service}/${generation.model}`;
 }
--- a/apps/gateway/src/lib/request_log.ts
+++ b/apps/gateway/src/lib/request_log.ts
@@ -9,11 +9,15 @@
 
 type LogFields = Readonly<Record<string, unknown>>;
 
-/** A failed attempt, and what follows it. */
-interface FailedAttempt {
-  readonly attempt: Attempt;
+/** Why an attempt failed, and whether the request may have run. @internal */
+export interface AttemptFailure {
   readonly verdict: Verdict;
   readonly detail: string;
+}
+
+/** A failed attempt, and what follows it. */
+interface FailedAttempt extends AttemptFailure {
+  readonly attempt: Attempt;
   readonly decision: RetryDecision;
 }
 
@@ -24,6 +28,8 @@
     private readonly head: CallerHeaders,
     private readonly route: Route,
     private readonly arrivedMs: number,
+    /** Undefined without an organisation; it is left out of the log then. */
+    private readonly organisation: string | undefined,
   ) {}
 
   sent(attempt: Attempt, sendCount: number, deadlineMs: number, logFields: LogFields): void {
@@ -32,6 +38,7 @@
     this.ctx.log.info('request sent', {
       requestId: this.head.requestId,
       route: this.route.name,
+      organisation: this.organisation,
       replica: replica.id,
       version: replica.entry.softwareVersion,
       bornMs: replica.entry.bornMs,
@@ -71,6 +78,7 @@
     this.ctx.log.info('request ended', {
       requestId: this.head.requestId,
       route: this.route.name,
+      organisation: this.organisation,
       service,
       model: this.head.generation?.model ?? '',
       adapter: this.head.generation?.adapter ?? '',
--- a/apps/gateway/src/lib/request_schedule.ts
+++ b/apps/gateway/src/lib/request_schedule.ts
@@ -6,6 +6,13 @@
 
 /** Minimum time that a replica needs for a request; with less left, it is not retried. @internal */
 export const MIN_SERVICE_MS = 40;
+/** From this target latency on there is time to load a model from a replica's disk. */
+const DELAY_TOLERANT_TARGET_MS = 3500;
+
+/** True when a request leaves time to load its model first. @internal */
+export function isDelayTolerant({targetLatencyMs}: Route): boolean {
+  return targetLatencyMs >= DELAY_TOLERANT_TARGET_MS;
+}
 
 /**
  * Computes the times of a request from its headers, its route, and what is known of its model.
--- a/apps/gateway/src/lib/store_watcher.ts
+++ b/apps/gateway/src/lib/store_watcher.ts
@@ -47,8 +47,8 @@
   private call = new AbortController();
   /** Watches that have had no response in time, and may still get one. */
   private readonly overdue = new Map<AbortController, Promise<WatchResponse>>();
-  /** True while the response to that call is being received. */
-  private receiving = false;
+  /** Since when the response to that call has been received; undefined without one. */
+  private receivingSinceMs: number | undefined;
   private knownRevision = -1;
   /** Store era of the revision. */
   private knownEra = 0;
@@ -91,6 +91,11 @@
     return this.receiving;
   }
 
+  /** Time for which a response has been received; 0 without one. */
+  get receivingMs(): number {
+    return this.receivingSinceMs === undefined ? 0 : performance.now() - this.receivingSinceMs;
+  }
+
   /** Age of what is known: time since the request that it was read with, here or elsewhere. */
   get contactAgeMs(): number {
     return performance.now() - this.asOfMs;
@@ -140,6 +145,14 @@
     return this.advance(revision, changes);
   }
 
+  private get receiving(): boolean {
+    return this.receivingSinceMs !== undefined;
+  }
+
+  private set receiving(isReceiving: boolean) {
+    this.receivingSinceMs = isReceiving ? performance.now() : undefined;
+  }
+
   private async run(): Promise<void> {
     const {signal} = this.abort;
     while (!signal.aborted) {
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -16,7 +16,6 @@
 import {HandshakeAuthenticator, type MemberInfo} from '@jasminepost/mesh';
 import {ListAgeLimit, PriorWaitEstimator, StreamVersions} from '@jasminepost/policy';
 import {readProcessSettings, StoreClient} from '@jasminepost/platform';
-import {RouteTable} from '@jasminepost/serving';
 import {ActiveConfig} from './lib/active_config.ts';
 import {CallerServer} from './lib/caller_server.ts';
 import {CrashDetector} from './lib/crash_detector.ts';
@@ -76,7 +75,7 @@
   const self: MemberInfo = {id: instance.id, incarnation, role: 'gateway', zone: instance.zone};
 
   const activeConfig = new ActiveConfig(log, applied => {
-    server.applyRoutes(new RouteTable(applied));
+    server.applyConfig(applied);
     table.applyServices(applied.services);
     for (const replica of table.replicas.values()) stewardLinks.addEngine(replica);
   });
@@ -218,6 +217,11 @@
     retryBudget: service => budgets.forService(service),
     gateways,
     configVersion: () => activeConfig.version,
+    configCurrency: () => ({
+      ageMs: fleetWatcher.configAgeMs,
+      applyMs: instance.bounds.configApplyMs,
+      isNewerAnnounced: fleetWatcher.isNewerConfigAnnounced,
+    }),
     listAgeMs: () => fleetWatcher.contactAgeMs,
     mayChooseReplica,
     endsConnection: req => shutdown.draining && !server.isFollowed(req),
--- a/features/support/engine_replay.ts
+++ b/features/support/engine_replay.ts
@@ -166,7 +166,14 @@
         firstEventMs: PREFILL_MS,
       });
       const priority = this.random() < 0.3 ? 0 : 1;
-      this.queue.push({...times, model, priority, arrivedMs: nowMs, targetMs: nowMs + TARGET_MS});
+      this.queue.push({
+        ...times,
+        model,
+        organisationPriority: undefined,
+        priority,
+        arrivedMs: nowMs,
+        targetMs: nowMs + TARGET_MS,
+      });
     }
   }
 
--- a/features/support/waiting_requests.ts
+++ b/features/support/waiting_requests.ts
@@ -67,7 +67,13 @@
         path,
         rawHeaders: [],
         body: Buffer.alloc(0),
-        systemHeaders: {deadlineMs: 1000, replicaId: 'a', urgency: undefined, lastEventId: ''},
+        systemHeaders: {
+          deadlineMs: 1000,
+          replicaId: 'a',
+          urgency: undefined,
+          lastEventId: '',
+          caller: undefined,
+        },
         mayStart,
       },
       {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -46,6 +46,14 @@
 } from './lib/placement.ts';
 export {thresholdsOf, type Objective} from './lib/placement_objective.ts';
 export {DemandTracker, TRIAL_DEMAND_WEIGHT} from './lib/demand.ts';
+export {
+  rejectionWithoutKey,
+  settleKeyCheck,
+  type AcceptedKey,
+  type ConfigCurrency,
+  type KeyCheck,
+  type KeyFault,
+} from './lib/key_check.ts';
 export {OrganisationLimiter, type LimitRefusal} from './lib/organisation_limiter.ts';
 export {demandIntervalMs, reportIntervalMs} from './lib/report_interval.ts';
 export {
--- a/packages/policy/src/lib/queue_order.ts
+++ b/packages/policy/src/lib/queue_order.ts
@@ -2,6 +2,8 @@
 
 /** A request that waits for a replica. @public */
 export interface QueuedRequest {
+  /** Goes before its own priority; undefined without an organisation, which counts as 0. */
+  readonly organisationPriority: number | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly arrivedMs: number;
@@ -66,9 +68,9 @@
 }
 
 /**
- * Orders requests that can still be on time before late ones, then by priority, then by the latest
- * time of dispatch. Handles overload: in order of arrival, every request would be late once the
- * queue is longer than the target.
+ * Orders requests that can still be on time before late ones, then by the priority of their
+ * organisation, by their own, and by the latest time of dispatch. Handles overload: in order of
+ * arrival, every request would be late once the queue is longer than the target.
  *
  * @example
  * queue.sort((a, b) => compareQueuedRequests(a, b, clock.monotonicMs()));
@@ -78,6 +80,8 @@
   const aIsLate = nowMs > a.sendByMs ? 1 : 0;
   const bIsLate = nowMs > b.sendByMs ? 1 : 0;
   if (aIsLate !== bIsLate) return aIsLate - bIsLate;
+  const organisations = (a.organisationPriority ?? 0) - (b.organisationPriority ?? 0);
+  if (organisations !== 0) return organisations;
   if (a.priority !== b.priority) return a.priority - b.priority;
   return a.sendByMs - b.sendByMs;
 }
@@ -86,15 +90,31 @@
 const LOWEST_ENGINE_PRIORITY = 9;
 
 /**
- * Priority of a request on a replica: there, too, a delay-tolerant request yields to the others.
+ * Priorities on a replica for the requests of each organisation. With three, the ten priorities
+ * there tell three priorities of organisations apart; any lower ones share the last.
+ */
+const ENGINE_LEVELS_PER_ORGANISATION = 3;
+
+/**
+ * Priority of a request on a replica: there, too, a delay-tolerant request yields to the others, and
+ * the priority of the organisation goes before both.
  *
  * @example
- * enginePriority({priority: 1, isDelayTolerant: true}); // 4
+ * enginePriority({organisationPriority: undefined, priority: 1, isDelayTolerant: true}); // 4
+ * enginePriority({organisationPriority: 1, priority: 1, isDelayTolerant: true}); // 5
  * @public
  */
 export function enginePriority(request: {
+  readonly organisationPriority: number | undefined;
   readonly priority: number;
   readonly isDelayTolerant: boolean;
 }): number {
-  return Math.min(LOWEST_ENGINE_PRIORITY, request.priority * 2 + (request.isDelayTolerant ? 2 : 0));
+  const level = request.priority + (request.isDelayTolerant ? 1 : 0);
+  const {organisationPriority} = request;
+  const levels = ENGINE_LEVELS_PER_ORGANISATION;
+  const priority =
+    organisationPriority === undefined
+      ? 2 * level
+      : levels * organisationPriority + Math.min(levels - 1, level);
+  return Math.min(LOWEST_ENGINE_PRIORITY, priority);
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -21,6 +21,7 @@
   ReplicaRegistration,
   CachedWeights,
 } from './lib/replica_registration.ts';
+export {OrganisationDirectory, type KeyLookup} from './lib/organisation_directory.ts';
 export {incarnationId} from './lib/replica_registration.ts';
 export {
   EMPTY_GENERATION,
