Count backlog in prefill time at the replica's pace; forget old paces

Cause: the review of the choice by pace found four faults. The correction by measured times had no end, so that an avoided replica stayed avoided. Prefill samples were divided by the corrected pace, and corrections result from the estimate, so both drifted together. The backlog counted requests and ignored their sizes. A mean without new reports was kept for ever. Silent resumable streams are moved by decideStall within the retry budget. AttemptCount takes the attempt counts out of CallerRequest.

--- a/apps/gateway/src/lib/attempt.ts
+++ b/apps/gateway/src/lib/attempt.ts
@@ -7,17 +7,28 @@
   firstEventMs = 0;
   /** This gateway's requests to the replica that had no first event yet when this one was sent. */
   readonly awaitingBefore: number;
+  /** Time until the first event that the work before it and its own prefill take at usual pace. */
+  readonly workMs: number;
+  /** The same at the pace that was expected when it was sent. */
+  readonly expectedMs: number;
   private ended = false;
 
-  /** @param tokens - KV cache tokens that the request occupies or will occupy. */
+  /**
+   * @param tokens - KV cache tokens that the request occupies or will occupy.
+   * @param prefillMs - Prefill time of the request at the usual pace; 0 for plain services.
+   */
   constructor(
     readonly replica: Replica,
     readonly sentMs: number,
     private readonly tokens: number,
+    private readonly prefillMs: number,
   ) {
+    const pace = replica.paceAt(sentMs) ?? 1;
+    this.workMs = replica.backlogMs(sentMs) / pace + prefillMs;
+    this.expectedMs = this.workMs * pace;
     this.awaitingBefore = replica.awaitingFirstEvent;
     replica.inFlight += 1;
-    replica.awaitingFirstEvent += 1;
+    replica.onAwaiting(1, prefillMs);
     replica.kvTokens += tokens;
   }
 
@@ -32,7 +43,7 @@
    */
   onFirstEvent(nowMs: number): number {
     this.firstEventMs = nowMs;
-    this.replica.awaitingFirstEvent -= 1;
+    this.replica.onAwaiting(-1, this.prefillMs);
     return nowMs - this.sentMs;
   }
 
@@ -41,7 +52,7 @@
     if (this.ended) return;
     this.ended = true;
     this.replica.inFlight -= 1;
-    if (this.firstEventMs === 0) this.replica.awaitingFirstEvent -= 1;
+    if (this.firstEventMs === 0) this.replica.onAwaiting(-1, this.prefillMs);
     this.replica.kvTokens -= this.tokens;
   }
 }
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -8,7 +8,7 @@
   type RequestHandle,
   type ReplicaResponseHead,
 } from '@jasminepost/platform';
-import {decideRetry, enginePriority} from '@jasminepost/policy';
+import {enginePriority, type StallReason} from '@jasminepost/policy';
 import {
   selectBackend,
   EMPTY_GENERATION,
@@ -20,20 +20,19 @@
 import {judgeResponse} from './response_fault.ts';
 import {ResponseRelay, sendLocalResponse} from './response_relay.ts';
 import {Attempt} from './attempt.ts';
+import {AttemptCount} from './attempt_count.ts';
 import {isFromOtherReplica, recordFirstEvent, recordResponseHead} from './response_head.ts';
 import {RequestLog} from './request_log.ts';
 import {notSent, outgoingRequest} from './outgoing_request.ts';
-import {MIN_SERVICE_MS, scheduleRequest} from './request_schedule.ts';
+import {scheduleRequest} from './request_schedule.ts';
+import {StallWatch, type WatchedStream} from './stall_watch.ts';
 import {StreamVersionGate} from './stream_version_gate.ts';
 import {CrashGate} from './crash_gate.ts';
 import type {RequestContent} from './crash_suspects.ts';
-import type {QueuedGeneration} from './generation_queue.ts';
 import type {GatewayContext} from './gateway_context.ts';
 import type {RequestOutcome} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
 
-/** Maximum number of sends of a request that no replica has run. */
-const MAX_NOT_RUN_SENDS = 3;
 /** From this target latency on there is time to load a model from a replica's disk. */
 const DELAY_TOLERANT_TARGET_MS = 3500;
 const DEFAULT_RETRY_AFTER_MS = 300;
@@ -42,7 +41,7 @@
 type AttemptFailure = Readonly<{verdict: Verdict; detail: string}>;
 
 /** @internal */
-export class CallerRequest implements QueuedGeneration {
+export class CallerRequest implements WatchedStream {
   readonly arrivedMs: number;
   readonly service: string;
   readonly priority: number;
@@ -51,10 +50,7 @@
   readonly excluded = new Set<string>();
   readonly isDelayTolerant: boolean;
 
-  private readonly deadlineMs: number;
-  private sendCount = 0;
-  /** Failed attempts in which a replica may have run the request. */
-  private runs = 0;
+  readonly deadlineMs: number;
   private exchange: RequestHandle | undefined;
   /** The most recent attempt. */
   private attempt: Attempt | undefined;
@@ -62,18 +58,19 @@
   private readonly heldEvents: Buffer[] = [];
   private finished = false;
   private timer: NodeJS.Timeout | undefined;
-  private readonly relay: ResponseRelay;
+  readonly relay: ResponseRelay;
   private readonly content: RequestContent;
   private readonly crashGate: CrashGate;
-  private readonly isRetryable: boolean;
+  readonly count: AttemptCount;
+  private readonly stallWatch: StallWatch;
   private readonly log: RequestLog;
-  private readonly versionGate: StreamVersionGate;
+  readonly versionGate: StreamVersionGate;
 
   constructor(
     private readonly ctx: GatewayContext,
     private readonly req: IncomingMessage,
     private readonly res: ServerResponse,
-    private readonly route: Route,
+    readonly route: Route,
     private readonly head: CallerHeaders,
     body: Buffer,
     startedMs: number,
@@ -88,7 +85,6 @@
     );
     this.priority = route.priority;
     this.isDelayTolerant = route.targetLatencyMs >= DELAY_TOLERANT_TARGET_MS;
-    this.isRetryable = route.kind === 'idempotent' || route.resumable;
     const {method = ''} = req;
     const onEvicted = () => setImmediate(() => this.checkEvents());
     this.relay = new ResponseRelay(res, method, route.resumable, ctx.eventMemory, onEvicted);
@@ -96,6 +92,8 @@
     this.deadlineMs = times.deadlineMs;
     this.sendByMs = times.sendByMs;
     this.abandonedMs = times.abandonedMs;
+    this.count = new AttemptCount(ctx, route, this.service, this.deadlineMs);
+    this.stallWatch = new StallWatch(ctx, this);
   }
 
   get generation(): GenerationParams {
@@ -107,7 +105,7 @@
   }
 
   get hasBeenSent(): boolean {
-    return this.sendCount > 0;
+    return this.count.sends > 0;
   }
 
   start(): void {
@@ -122,15 +120,17 @@
 
   /** Sends the request to a replica; `logFields` are the inputs of the choice of replica. */
   send(replica: Replica, logFields: Readonly<Record<string, unknown>>): void {
-    const {clock, metrics} = this.ctx;
+    const {clock, estimator, metrics} = this.ctx;
     const nowMs = clock.monotonicMs();
-    const attempt = new Attempt(replica, nowMs, maxTokens(this.head.generation));
+    const prefillMs = estimator.prefillMs(this.head.generation);
+    const attempt = new Attempt(replica, nowMs, maxTokens(this.head.generation), prefillMs);
     this.attempt = attempt;
-    this.sendCount += 1;
+    this.count.sends += 1;
     replica.recordEvent({kind: 'sent'}, nowMs);
     this.versionGate.onSent(replica);
     metrics.waited.recordMs(nowMs - this.arrivedMs);
-    this.log.sent(attempt, this.sendCount, this.deadlineMs, logFields);
+    this.log.sent(attempt, this.count.sends, this.deadlineMs, logFields);
+    this.stallWatch.start(attempt);
     const isCurrent = () => attempt.isLive && !this.finished;
     this.exchange = replica.client.send(
       outgoingRequest(this.ctx, replica, {
@@ -164,7 +164,7 @@
   refuse(reason: string, retryAfterMs: number, logFields: Readonly<Record<string, unknown>>): void {
     if (this.finished) return;
     this.ctx.metrics.refusals.increment(reason);
-    if (this.runs > 0) {
+    if (this.count.runs > 0) {
       this.fail(502, reason, logFields);
       return;
     }
@@ -211,7 +211,7 @@
     const verdict = judgeResponse(head, {
       requestId: this.head.requestId,
       isContinuation: this.relay.headSent,
-      canRetry: this.route.kind === 'idempotent' && this.runs + 1 < this.route.maxAttempts,
+      canRetry: this.route.kind === 'idempotent' && this.count.left > 0,
     });
     if (verdict.kind !== 'foreign') {
       recordResponseHead(this.ctx, this.attempt!, head);
@@ -243,13 +243,18 @@
   private onData(chunk: Buffer): boolean {
     if (this.versionGate.isRecording) {
       this.heldEvents.push(chunk);
+      this.stallWatch.onProgress(false);
       return false;
     }
     if (this.attempt!.firstEventMs === 0) {
       if (this.relay.isStream) this.versionGate.onFirstEvent(this.attempt!.replica);
       recordFirstEvent(this.ctx, this.attempt!, this.arrivedMs, this.head.generation);
     }
-    const hasCapacity = this.relay.data(chunk, () => this.exchange?.resume());
+    const hasCapacity = this.relay.data(chunk, () => {
+      this.stallWatch.onProgress(true);
+      this.exchange?.resume();
+    });
+    this.stallWatch.onProgress(hasCapacity);
     this.checkEvents();
     return hasCapacity;
   }
@@ -306,20 +311,7 @@
     // The list decides whether a replica is found again of which it was not known to be usable.
     if (verdict.reason !== 'not_started') this.excluded.add(replica.incarnation);
     metrics.attemptFailures.increment(verdict.reason);
-    if (verdict.kind === 'may_have_run') this.runs += 1;
-    // Nothing was sent.
-    if (verdict.reason === 'replaced' || verdict.reason === 'not_started') this.sendCount -= 1;
-    const isNotRun = verdict.kind === 'not_run';
-    const decision = decideRetry({
-      verdict,
-      idempotent: this.isRetryable,
-      answerStarted: this.relay.headSent,
-      resumable: this.route.resumable,
-      remainingMs: this.deadlineMs - nowMs - MIN_SERVICE_MS,
-      attempts: isNotRun ? this.sendCount : this.runs,
-      maxAttempts: isNotRun ? MAX_NOT_RUN_SENDS : this.route.maxAttempts,
-      takeToken: () => this.ctx.retryBudget(this.service).tryRetry(this.ctx.gateways(), nowMs),
-    });
+    const decision = this.count.afterFailure(verdict, this.relay.headSent, nowMs);
     this.log.attemptFailed({attempt: this.attempt!, ...failure, decision});
     if (decision.kind === 'retry' || decision.kind === 'resume') {
       this.relay.startAttempt();
@@ -327,10 +319,18 @@
       this.checkAndSubmit();
       return;
     }
-    if (isNotRun) this.refuse(verdict.reason, DEFAULT_RETRY_AFTER_MS, {detail: failure.detail});
+    if (verdict.kind === 'not_run')
+      this.refuse(verdict.reason, DEFAULT_RETRY_AFTER_MS, {detail: failure.detail});
     else this.fail(502, verdict.reason, {detail: failure.detail});
   }
 
+  /** Closes the connection of a silent attempt, then resumes the stream at another replica. */
+  moveStream(reason: StallReason, logFields: Readonly<Record<string, unknown>>): void {
+    this.log.moved(this.attempt!, logFields);
+    this.abortExchange();
+    this.onAttemptFailed({verdict: mayHaveRun('upstream_stalled'), detail: reason}, false);
+  }
+
   /** Ends an unfinished request with a response while there still is time to send one. */
   giveUp(reason: string, retryAfterMs: number): void {
     if (this.finished) return;
@@ -363,6 +363,7 @@
   }
 
   private endAttempt(): void {
+    this.stallWatch.stop();
     this.exchange?.discard();
     this.exchange = undefined;
     this.heldEvents.length = 0;
@@ -393,7 +394,7 @@
     this.crashGate.dispose();
     this.relay.dispose();
     this.ctx.metrics.endings.increment(outcome);
-    this.log.ended(outcome, this.service, this.sendCount, this.attempt, logFields);
+    this.log.ended(outcome, this.service, this.count.sends, this.attempt, logFields);
     this.ctx.onFinished(this);
   }
 }
--- a/apps/gateway/src/lib/engine_selector.ts
+++ b/apps/gateway/src/lib/engine_selector.ts
@@ -78,6 +78,28 @@
     return {kind: unlimited.length > 0 ? 'full' : 'limited'};
   }
 
+  /**
+   * Expected time to the first event of a request at the best replica that could take it now;
+   * undefined when none has capacity. Sends no request and orders no adapter.
+   */
+  expectedMs(request: QueuedGeneration, excluded: ReadonlySet<string>): number | undefined {
+    const {generation, service} = request;
+    const nowMs = this.ctx.clock.monotonicMs();
+    const slots = this.ctx.engineOf(service)?.slots ?? 0;
+    const candidates = this.replicasFor(request, excluded)
+      .filter(({limit}) => limit.kind === 'none')
+      .filter(replica => replica.eligibilityAt(nowMs) === 'yes')
+      .filter(replica => replica.hasLoaded(generation.model, generation.adapter))
+      .map(replica =>
+        replica.asEngineCandidate(generation.adapter, generation.model, slots, nowMs),
+      );
+    const engineRequest = this.engineRequestOf(generation);
+    const choice = chooseEngine(candidates, engineRequest);
+    if (choice.kind !== 'chosen') return undefined;
+    const {pace = 1} = candidates[choice.index];
+    return choice.backlogMs + engineRequest.prefillMs * pace;
+  }
+
   /** Reason why a request waits while others are dispatched before it. */
   waitReasonBehind({service, generation}: QueuedGeneration): WaitReason {
     const replicas = this.ctx.table.withModel(service, generation.model);
@@ -142,8 +164,8 @@
     return {kind: 'found', replica, candidate};
   }
 
-  private replicasFor(request: QueuedGeneration): Replica[] {
-    const {service, generation, excluded, requiredVersion} = request;
+  private replicasFor(request: QueuedGeneration, excluded = request.excluded): Replica[] {
+    const {service, generation, requiredVersion} = request;
     const replicas = this.ctx.table.withModel(service, generation.model);
     return replicas.filter(
       replica => !excluded.has(replica.incarnation) && replica.mayServeVersion(requiredVersion),
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -2,7 +2,7 @@
 import {MetricRegistry, type CounterFamily, type Histogram} from '@jasminepost/core';
 import type {LinkCloseReason} from '@jasminepost/mesh';
 import type {StoreCall} from '@jasminepost/platform';
-import type {StreamVersionDecision} from '@jasminepost/policy';
+import type {StallReason, StreamVersionDecision} from '@jasminepost/policy';
 import type {PermitEvent} from './replica_rate_limits.ts';
 
 /** How the version of a resumed stream is known. @internal */
@@ -34,6 +34,7 @@
   readonly crashEvidence: CounterFamily<CrashEvidence>;
   readonly permits: CounterFamily<PermitEvent>;
   readonly streamResumes: CounterFamily<StreamResumeSource>;
+  readonly movedStreams: CounterFamily<StallReason>;
   readonly linkFaults: CounterFamily<LinkCloseReason>;
   readonly firstEvent: Histogram;
   readonly waited: Histogram;
@@ -83,6 +84,11 @@
       'Streams resumed by their callers, by how their version is known',
       'source',
     ),
+    movedStreams: registry.counter(
+      'moved_streams',
+      'Streams moved to another replica because they got no events, by reason',
+      'reason',
+    ),
     linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
     firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
     waited: registry.histogram('waited_ms', 'Time in the line before the request was sent'),
--- a/apps/gateway/src/lib/generation_queue.ts
+++ b/apps/gateway/src/lib/generation_queue.ts
@@ -134,6 +134,19 @@
     this.dequeue(request);
   }
 
+  /**
+   * Expected time to the first event of a request if it were submitted now; undefined when it would
+   * not be sent at once.
+   *
+   * @param excluded - Incarnations of replicas that are left out.
+   */
+  expectedMs(request: QueuedGeneration, excluded: ReadonlySet<string>): number | undefined {
+    const {ctx} = this;
+    if (ctx.isClosing() || !ctx.mayChooseReplica()) return undefined;
+    if (this.waitingFor(modelKeyOf(request)) > 0) return undefined;
+    return ctx.selector.expectedMs(request, excluded);
+  }
+
   /** Number of queued requests by `service/model`. */
   waitingByModel(): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
@@ -269,8 +282,9 @@
       unstarted: candidate.awaitingFirstEvent,
       occupied: candidate.active,
       kvUsed: candidate.kvUsed,
-      prefillMs: Math.round(candidate.prefillMs),
-      pace: candidate.pace,
+      backlogMs: Math.round(candidate.backlogMs),
+      pace: candidate.pace?.toFixed(2),
+      paceAgeMs: replica.paceAgeMs(this.ctx.clock.monotonicMs()),
     });
   }
 
--- a/apps/gateway/src/lib/prefill_estimator.ts
+++ b/apps/gateway/src/lib/prefill_estimator.ts
@@ -1,4 +1,5 @@
 /** Estimates the time from a prompt to its first event for each model, learned from samples. */
+import type {GenerationParams} from '@jasminepost/serving';
 
 /** Initial estimate: replicas of the current size prefill about 20 tokens per millisecond. */
 const INITIAL_MS_PER_TOKEN = 0.055;
@@ -17,6 +18,11 @@
     return FIXED_MS + tokens * (this.msPerToken.get(model) ?? INITIAL_MS_PER_TOKEN);
   }
 
+  /** Expected prefill time of a request; 0 for plain services. */
+  prefillMs(generation: GenerationParams | undefined): number {
+    return generation === undefined ? 0 : this.estimateMs(generation.model, generation.tokensIn);
+  }
+
   /** Adds a sample from a request that had no other of this gateway before it. */
   addSample(model: string, tokens: number, firstEventMs: number): void {
     if (tokens <= 0) return;
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -7,6 +7,7 @@
   eligibilityOf,
   expectedPace,
   nextPace,
+  reportedPace,
   nextRateLimit,
   nextAvailability,
   remainingPauseMs,
@@ -43,6 +44,10 @@
   inFlight = 0;
   /** Requests of this gateway that wait for their first event. */
   awaitingFirstEvent = 0;
+  /** Prefill time of these requests at the usual pace. */
+  private awaitingMs = 0;
+  /** Mean prefill time of this gateway's requests at the usual pace, taken as that of all. */
+  private usualPrefillMs = INITIAL_PREFILL_MS;
   /** KV cache tokens that this gateway's requests in progress occupy or will occupy. */
   kvTokens = 0;
   serviceMs = INITIAL_SERVICE_MS;
@@ -222,10 +227,45 @@
     return pace === undefined ? undefined : expectedPace(pace, nowMs);
   }
 
-  /** Compares a measured time with the time that the work takes at the usual pace. */
-  onWorkMeasured(usualMs: number, measuredMs: number): void {
+  /** The same by its reports alone; 1 before the first. */
+  reportedPaceAt(nowMs: number): number {
     const {pace} = this.learned;
-    if (pace !== undefined) this.learned.pace = correctPace(pace, usualMs, measuredMs);
+    return pace === undefined ? 1 : reportedPace(pace, nowMs);
+  }
+
+  /** Age of its latest report of its pace; undefined before the first. */
+  paceAgeMs(nowMs: number): number | undefined {
+    const {pace} = this.learned;
+    return pace === undefined ? undefined : Math.round(nowMs - pace.latestMs);
+  }
+
+  /**
+   * Compares a measured time with the time that the work takes at the usual pace.
+   *
+   * @param weight - See `correctPace`.
+   */
+  onWorkMeasured(usualMs: number, measuredMs: number, nowMs: number, weight?: number): void {
+    const {pace} = this.learned;
+    if (pace === undefined) return;
+    this.learned.pace = correctPace(pace, usualMs, measuredMs, nowMs, weight);
+  }
+
+  /** Adds a request of this gateway to those without a first event, or removes it. */
+  onAwaiting(change: 1 | -1, prefillMs: number): void {
+    this.awaitingFirstEvent += change;
+    this.awaitingMs += change * prefillMs;
+    if (change === 1 && prefillMs > 0) {
+      this.usualPrefillMs += ESTIMATE_WEIGHT * (prefillMs - this.usualPrefillMs);
+    }
+  }
+
+  /** Expected time until its requests that have had no first event yet have had it. */
+  backlogMs(nowMs: number): number {
+    const count = this.expectedAwaiting(nowMs);
+    const pace = this.paceAt(nowMs);
+    if (pace === undefined) return count * this.prefillMs;
+    const others = Math.max(0, count - this.awaitingFirstEvent);
+    return pace * (this.awaitingMs + others * this.usualPrefillMs);
   }
 
   /** Records a response that came from this replica and not from another at its address. */
@@ -254,38 +294,26 @@
   }
 
   asEngineCandidate(adapter: string, model: string, slots: number, nowMs: number): EngineCandidate {
-    const validMs = LOAD_VALID_INTERVALS * (this.load?.nextMs ?? 0);
-    const recentLoad = nowMs - this.loadReceivedMs < validMs ? this.load : undefined;
-    /** A reported number, corrected by this gateway's own changes since the report. */
-    const estimateNow = (
-      field: 'inFlight' | 'awaitingFirstEvent' | 'kvTokens',
-      reported: number,
-    ) =>
-      recentLoad === undefined
-        ? this[field]
-        : Math.max(this[field], reported + this[field] - this.ownAtLoad[field]);
+    const recentLoad = this.recentLoad(nowMs);
+    const inFlight = (recentLoad?.running ?? 0) + (recentLoad?.waiting ?? 0);
     return {
       id: this.id,
       idHash: this.idHash,
       zone: this.entry.zone,
       hasAdapter: this.hasLoaded(model, adapter),
-      awaitingFirstEvent: estimateNow(
-        'awaitingFirstEvent',
-        (recentLoad?.prefilling ?? 0) + (recentLoad?.waiting ?? 0),
-      ),
-      active: estimateNow('inFlight', (recentLoad?.running ?? 0) + (recentLoad?.waiting ?? 0)),
+      awaitingFirstEvent: this.expectedAwaiting(nowMs),
+      active: this.estimateNow('inFlight', inFlight, nowMs),
       slots,
-      kvUsed: estimateNow('kvTokens', recentLoad?.kvUsed ?? 0),
+      kvUsed: this.estimateNow('kvTokens', recentLoad?.kvUsed ?? 0, nowMs),
       kvTotal: recentLoad?.kvTotal ?? Number.POSITIVE_INFINITY,
-      prefillMs: this.prefillMs,
+      backlogMs: this.backlogMs(nowMs),
       pace: this.paceAt(nowMs),
     };
   }
 
   asRouteCandidate(nowMs: number): RouteCandidate {
     const {pace} = this.learned;
-    const paceRatio =
-      pace === undefined ? 1 : expectedPace({...pace, correction: 1}, nowMs) / pace.mean;
+    const paceRatio = pace === undefined ? 1 : reportedPace(pace, nowMs) / pace.mean;
     return {
       id: this.id,
       idHash: this.idHash,
@@ -302,6 +330,27 @@
     };
   }
 
+  private recentLoad(nowMs: number): EngineLoadMessage | undefined {
+    const validMs = LOAD_VALID_INTERVALS * (this.load?.nextMs ?? 0);
+    return nowMs - this.loadReceivedMs < validMs ? this.load : undefined;
+  }
+
+  private expectedAwaiting(nowMs: number): number {
+    const load = this.recentLoad(nowMs);
+    const reported = (load?.prefilling ?? 0) + (load?.waiting ?? 0);
+    return this.estimateNow('awaitingFirstEvent', reported, nowMs);
+  }
+
+  /** A reported number, corrected by this gateway's own changes since the report. */
+  private estimateNow(
+    field: 'inFlight' | 'awaitingFirstEvent' | 'kvTokens',
+    reported: number,
+    nowMs: number,
+  ): number {
+    if (this.recentLoad(nowMs) === undefined) return this[field];
+    return Math.max(this[field], reported + this[field] - this.ownAtLoad[field]);
+  }
+
   /** True when its steward finds no replica, or one that was started later. */
   private isReportedEnded(): boolean {
     const {state, entry} = this;
--- a/apps/gateway/src/lib/request_log.ts
+++ b/apps/gateway/src/lib/request_log.ts
@@ -59,6 +59,11 @@
     });
   }
 
+  moved(attempt: Attempt, logFields: LogFields): void {
+    const {requestId} = this.head;
+    this.ctx.log.info('stream moved', {requestId, replica: attempt.replica.id, ...logFields});
+  }
+
   /** @param attempt - The last attempt; undefined when there was none. */
   ended(
     outcome: RequestOutcome,
--- a/apps/gateway/src/lib/response_head.ts
+++ b/apps/gateway/src/lib/response_head.ts
@@ -69,12 +69,12 @@
   ctx.metrics.firstEvent.recordMs(nowMs - arrivedMs);
   if (generation !== undefined) {
     attempt.replica.recordPrefill(elapsedMs / (attempt.awaitingBefore + 1));
+    const {model, tokensIn} = generation;
+    const {replica, workMs} = attempt;
+    replica.onWorkMeasured(workMs, elapsedMs, nowMs);
     if (attempt.awaitingBefore === 0) {
-      const {model, tokensIn} = generation;
-      const {replica} = attempt;
-      const pace = replica.paceAt(nowMs) ?? 1;
-      replica.onWorkMeasured(ctx.estimator.estimateMs(model, tokensIn), elapsedMs);
-      ctx.estimator.addSample(model, tokensIn, elapsedMs / pace);
+      // By reports alone: corrections result from the estimate, and would drift together with it.
+      ctx.estimator.addSample(model, tokensIn, elapsedMs / replica.reportedPaceAt(nowMs));
     }
   }
   ctx.generations.scheduleDispatch();
--- a/apps/gateway/src/lib/stream_version_gate.ts
+++ b/apps/gateway/src/lib/stream_version_gate.ts
@@ -89,6 +89,13 @@
     return undefined;
   }
 
+  /** True when another attempt of the stream could be sent now. */
+  get mayMove(): boolean {
+    const {requiredVersion} = this;
+    if (requiredVersion !== undefined) return this.isServed(requiredVersion);
+    return !this.route.resumable || this.ctx.streamRecord.isAvailable;
+  }
+
   /** Records the version of the replica that an attempt begins at, if it needs a record. */
   onSent({entry: {softwareVersion}}: Replica): void {
     const {requestId} = this.head;
--- a/features/support/engine_replay.ts
+++ b/features/support/engine_replay.ts
@@ -343,7 +343,7 @@
     slots: 64,
     kvUsed: 0,
     kvTotal: 1_000_000,
-    prefillMs: PREFILL_MS,
+    backlogMs: replica.queue.length * PREFILL_MS,
     pace: undefined,
   };
 }
--- a/packages/core/src/lib/verdict.ts
+++ b/packages/core/src/lib/verdict.ts
@@ -36,6 +36,7 @@
   'sidecar_moving',
   'upstream_crashed',
   'upstream_cut',
+  'upstream_stalled',
 ] as const;
 
 /** @public */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -90,8 +90,20 @@
   type ReplicaAvailability,
   type AvailabilityEvent,
 } from './lib/replica_availability.ts';
+export {
+  decideStall,
+  type StallDecision,
+  type StallInput,
+  type StallReason,
+} from './lib/stall_decision.ts';
 export {PermitPool, type PermitRequest} from './lib/permit_pool.ts';
-export {correctPace, expectedPace, nextPace, type ReplicaPace} from './lib/replica_pace.ts';
+export {
+  correctPace,
+  expectedPace,
+  nextPace,
+  reportedPace,
+  type ReplicaPace,
+} from './lib/replica_pace.ts';
 export {PermitIssuer, type PermitGrant} from './lib/permit_issuer.ts';
 export {
   NO_RATE_LIMIT,
--- a/packages/policy/src/lib/engine_choice.ts
+++ b/packages/policy/src/lib/engine_choice.ts
@@ -14,8 +14,8 @@
   /** Tokens of KV cache in use: as reported plus those of requests sent since. */
   readonly kvUsed: number;
   readonly kvTotal: number;
-  /** Mean prefill time of one of the requests that have had no first event yet. */
-  readonly prefillMs: number;
+  /** Expected time until the requests that have had no first event yet have had it. */
+  readonly backlogMs: number;
   /** Factor of the usual time that work takes there; undefined where replicas don't report it. */
   readonly pace: number | undefined;
 }
@@ -77,15 +77,14 @@
   let bestBacklogMs = 0;
   for (let index = 0; index < candidates.length; index++) {
     const candidate = candidates[index];
-    const backlogMs = candidate.awaitingFirstEvent * candidate.prefillMs;
-    if (!hasCapacity(candidate, request, backlogMs)) continue;
-    const {pace = 1} = candidate;
+    if (!hasCapacity(candidate, request)) continue;
+    const {backlogMs, pace = 1} = candidate;
     let cost = backlogMs + candidate.active * CONCURRENCY_COST_MS * pace;
     // Without a reported pace, the request's own prefill counts as the same on every replica.
     if (candidate.pace !== undefined) cost += request.prefillMs * pace;
     if (candidate.zone !== request.zone) cost += CROSS_ZONE_COST_MS;
     if (request.adapterHash !== 0 && !candidate.hasAdapter) cost += ADAPTER_LOAD_MS;
-    if (index === prefixAffinityIndex) cost -= request.prefixSavingMs;
+    if (index === prefixAffinityIndex) cost -= request.prefixSavingMs * pace;
     if (index === adapterAffinityIndex) cost -= ADAPTER_AFFINITY_MS;
     if (cost < bestCost) {
       best = index;
@@ -96,8 +95,8 @@
   return best < 0 ? {kind: 'full'} : {kind: 'chosen', index: best, backlogMs: bestBacklogMs};
 }
 
-function hasCapacity(replica: EngineCandidate, request: EngineRequest, backlogMs: number): boolean {
-  if (replica.awaitingFirstEvent > 0 && backlogMs > request.maxBacklogMs) return false;
+function hasCapacity(replica: EngineCandidate, request: EngineRequest): boolean {
+  if (replica.awaitingFirstEvent > 0 && replica.backlogMs > request.maxBacklogMs) return false;
   if (replica.active >= replica.slots) return false;
   return replica.kvUsed + request.tokens <= replica.kvTotal * MAX_KV_SHARE || replica.active === 0;
 }
