--- a/features/support/engine_replay.ts
+++ b/features/support/engine_replay.ts
@@ -310,6 +310,7 @@
       prefillMs: PREFILL_MS,
       tokens: 2000,
       maxBacklogMs: MAX_BACKLOG_MS,
+      maxPrefillMs: undefined,
     });
     if (choice.kind !== 'chosen') return 'waits';
     const othersWait = this.countQueued(req.model) > 1;
