Charge requests to the quotas of their organisations

Organisations have a quota over all gateways together, in tokens or requests, and nothing kept it. The planner's gateway issues credit from one token bucket per organisation (PermitIssuer), gateways hold it in a PermitPool for up to 300 ms, and FallbackPermits grants whole requests of a share of the rate while there is no issuer. A request is charged before its first send and refused with 429 when there is no credit; a request that waits in a queue holds none.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -15,12 +15,15 @@
   maxTokens,
   sharedPartIds,
   type GenerationParams,
+  type Organisation,
   type Route,
 } from '@jasminepost/serving';
 import {judgeResponse} from './response_fault.ts';
 import {ResponseRelay, sendLocalResponse} from './response_relay.ts';
 import {Attempt} from './attempt.ts';
 import {isFromOtherReplica, recordFirstEvent, recordResponseHead} from './response_head.ts';
+import {QuotaGate} from './quota_gate.ts';
+import {admitRequest, DEFAULT_RETRY_AFTER_MS} from './request_admission.ts';
 import {RequestLog} from './request_log.ts';
 import {notSent, outgoingRequest} from './outgoing_request.ts';
 import {MIN_SERVICE_MS, scheduleRequest} from './request_schedule.ts';
@@ -36,7 +39,6 @@
 const MAX_NOT_RUN_SENDS = 3;
 /** From this target latency on there is time to load a model from a replica's disk. */
 const DELAY_TOLERANT_TARGET_MS = 3500;
-const DEFAULT_RETRY_AFTER_MS = 300;
 
 /** Why an attempt failed, and whether the request may have run. */
 type AttemptFailure = Readonly<{verdict: Verdict; detail: string}>;
@@ -50,6 +52,7 @@
   readonly abandonedMs: number;
   readonly excluded = new Set<string>();
   readonly isDelayTolerant: boolean;
+  readonly quota: QuotaGate;
 
   private readonly deadlineMs: number;
   private sendCount = 0;
@@ -64,10 +67,10 @@
   private timer: NodeJS.Timeout | undefined;
   private readonly relay: ResponseRelay;
   private readonly content: RequestContent;
-  private readonly crashGate: CrashGate;
+  readonly crashGate: CrashGate;
   private readonly isRetryable: boolean;
   private readonly log: RequestLog;
-  private readonly versionGate: StreamVersionGate;
+  readonly versionGate: StreamVersionGate;
 
   constructor(
     private readonly ctx: GatewayContext,
@@ -77,7 +80,9 @@
     private readonly head: CallerHeaders,
     body: Buffer,
     startedMs: number,
+    readonly organisation: Organisation | undefined,
   ) {
+    this.quota = new QuotaGate(ctx.quotas, organisation?.name, head.tokens);
     this.arrivedMs = startedMs;
     this.content = {method: req.method ?? 'GET', path: req.url ?? '/', body};
     this.log = new RequestLog(ctx, head, route, startedMs);
@@ -116,8 +121,10 @@
     this.timer = setTimeout(() => this.giveUp('deadline_passed', 0), leftMs);
     onCallerDisconnect(this.res, () => this.onCallerGone());
     this.ctx.retryBudget(this.service).countFirstAttempt(clock.monotonicMs());
-    if (this.versionGate.isResumed) void this.submitResumed();
-    else this.checkAndSubmit();
+    this.versionGate.whenKnown(
+      () => this.checkAndSubmit(),
+      () => this.refuse('stream_version_unknown', DEFAULT_RETRY_AFTER_MS, {}),
+    );
   }
 
   /** Sends the request to a replica; `logFields` are the inputs of the choice of replica. */
@@ -129,6 +136,7 @@
     this.sendCount += 1;
     replica.recordEvent({kind: 'sent'}, nowMs);
     this.versionGate.onSent(replica);
+    this.quota.onSent();
     metrics.waited.recordMs(nowMs - this.arrivedMs);
     this.log.sent(attempt, this.sendCount, this.deadlineMs, logFields);
     const isCurrent = () => attempt.isLive && !this.finished;
@@ -161,7 +169,12 @@
   }
 
   /** Refuses the request as not run, or fails it when an earlier attempt may have run. */
-  refuse(reason: string, retryAfterMs: number, logFields: Readonly<Record<string, unknown>>): void {
+  refuse(
+    reason: string,
+    retryAfterMs: number,
+    logFields: Readonly<Record<string, unknown>>,
+    status: 429 | 503 = 503,
+  ): void {
     if (this.finished) return;
     this.ctx.metrics.refusals.increment(reason);
     if (this.runs > 0) {
@@ -169,8 +182,10 @@
       return;
     }
     const leftMs = Math.max(0, this.deadlineMs - this.ctx.clock.monotonicMs());
-    const header = retryAfterHeader(Math.min(retryAfterMs, leftMs));
-    sendLocalResponse(this.res, 503, reason, this.ctx.endsConnection(this.req), header);
+    // Credit comes at its time, also after the deadline of this request.
+    const header = retryAfterHeader(status === 429 ? retryAfterMs : Math.min(retryAfterMs, leftMs));
+    this.quota.refund();
+    sendLocalResponse(this.res, status, reason, this.ctx.endsConnection(this.req), header);
     this.finish('refused', {reason, retryAfterMs: Math.round(retryAfterMs), ...logFields});
   }
 
@@ -178,31 +193,16 @@
     return this.crashGate.holdMs();
   }
 
-  private async submitResumed(): Promise<void> {
-    const isKnown = await this.versionGate.findVersion();
-    if (this.finished) return;
-    if (isKnown) this.checkAndSubmit();
-    else this.refuse('stream_version_unknown', DEFAULT_RETRY_AFTER_MS, {});
-  }
-
-  /** Queues the request for a replica, unless it is suspected of crashing replicas. */
-  private checkAndSubmit(): void {
-    this.crashGate.check(
-      () => this.submitToQueue(),
-      holdMs => this.refuse('crashes_replicas', holdMs, {}),
-    );
-  }
-
   /** Hands the request to the queue for its service, which sends it at once where it can. */
-  private submitToQueue(): void {
-    const refusal = this.versionGate.check();
-    if (refusal !== undefined) {
-      this.refuse(refusal, DEFAULT_RETRY_AFTER_MS, {version: this.requiredVersion});
-      return;
-    }
-    const hasEngine = this.ctx.engineOf(this.service) !== undefined;
-    if (hasEngine && this.head.generation !== undefined) this.ctx.generations.submit(this);
-    else this.ctx.services.submit(this);
+  private checkAndSubmit(): void {
+    if (this.finished) return;
+    const submit = () => {
+      const hasEngine = this.ctx.engineOf(this.service) !== undefined;
+      if (hasEngine && this.head.generation !== undefined) this.ctx.generations.submit(this);
+      else this.ctx.services.submit(this);
+      this.quota.releaseUnsent();
+    };
+    admitRequest(this, submit, (...refusal) => this.refuse(...refusal));
   }
 
   private onHead(head: ReplicaResponseHead): void {
@@ -390,6 +390,7 @@
     if (this.finished) return;
     this.finished = true;
     clearTimeout(this.timer);
+    this.quota.releaseUnsent();
     this.crashGate.dispose();
     this.relay.dispose();
     this.ctx.metrics.endings.increment(outcome);
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -3,7 +3,7 @@
 import {readBody, RequestSequence} from '@jasminepost/caller';
 import {assertNever, listenOn, errorMessage, type HostPort} from '@jasminepost/core';
 import {parseCallerHeaders, retryAfterHeader} from '@jasminepost/platform';
-import type {RouteTable} from '@jasminepost/serving';
+import type {Organisation, RouteTable} from '@jasminepost/serving';
 import {sendLocalResponse} from './response_relay.ts';
 import {CallerRequest} from './caller_request.ts';
 import {LEAVING_RETRY_AFTER_MS} from './generation_queue.ts';
@@ -170,7 +170,16 @@
       return;
     }
     const head = parseCallerHeaders(req.headers);
-    const request = new CallerRequest(ctx, req, res, route, head, body, startedMs);
+    const request = new CallerRequest(
+      ctx,
+      req,
+      res,
+      route,
+      head,
+      body,
+      startedMs,
+      this.organisationOf(req),
+    );
     this.running.add(request);
     try {
       request.start();
@@ -184,6 +193,13 @@
     }
   }
 
+  /** Organisation whose key the request carries; undefined for none. */
+  private organisationOf({headers}: IncomingMessage): Organisation | undefined {
+    const [, key] = /^Bearer (.+)$/i.exec(headers.authorization ?? '') ?? [];
+    if (key === undefined) return undefined;
+    return this.routes?.config.organisations?.find(({apiKeys}) => apiKeys.includes(key));
+  }
+
   /** Refuses a request as not run; the caller may retry it. */
   private refuse(
     req: IncomingMessage,
--- a/apps/gateway/src/lib/engine_selector.ts
+++ b/apps/gateway/src/lib/engine_selector.ts
@@ -39,7 +39,8 @@
  *
  * @internal
  */
-export type WaitReason = 'full' | 'late_here' | 'no_holder' | 'adapter' | 'paused' | 'limited';
+export type WaitReason =
+  'full' | 'late_here' | 'no_holder' | 'adapter' | 'paused' | 'limited' | 'quota';
 
 /** @internal */
 export type EngineSelection =
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -9,6 +9,7 @@
 import type {GenerationQueue} from './generation_queue.ts';
 import type {GatewayMetrics} from './gateway_metrics.ts';
 import type {ReplicaRateLimits} from './replica_rate_limits.ts';
+import type {OrganisationQuotas} from './organisation_quotas.ts';
 import type {PrefillEstimator} from './prefill_estimator.ts';
 import type {ReplicaTable} from './replica_table.ts';
 import type {ServiceQueue} from './service_queue.ts';
@@ -28,6 +29,7 @@
   readonly generations: GenerationQueue;
   readonly services: ServiceQueue;
   readonly limits: ReplicaRateLimits;
+  readonly quotas: OrganisationQuotas;
   readonly crashes: CrashDetector;
   /** Memory for the incomplete events of all streams. */
   readonly eventMemory: BufferBudget;
--- a/apps/gateway/src/lib/gateway_count.ts
+++ b/apps/gateway/src/lib/gateway_count.ts
@@ -9,6 +9,11 @@
   private readonly counts: Array<{readonly count: number; readonly atMs: number}> = [];
   private lastLogged = 0;
 
+  /** Largest count within the window, without the lower bound; 0 before the first. */
+  get known(): number {
+    return this.counts.at(0)?.count ?? 0;
+  }
+
   /** @param minimum - Lower bound, also returned before there is any count. */
   constructor(
     private readonly minimum: number,
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -3,6 +3,7 @@
 import type {LinkCloseReason} from '@jasminepost/mesh';
 import type {StoreCall} from '@jasminepost/platform';
 import type {StreamVersionDecision} from '@jasminepost/policy';
+import type {CreditEvent} from './organisation_quotas.ts';
 import type {PermitEvent} from './replica_rate_limits.ts';
 
 /** How the version of a resumed stream is known. @internal */
@@ -33,6 +34,7 @@
   readonly storeCalls: CounterFamily<StoreCall>;
   readonly crashEvidence: CounterFamily<CrashEvidence>;
   readonly permits: CounterFamily<PermitEvent>;
+  readonly credit: CounterFamily<CreditEvent>;
   readonly streamResumes: CounterFamily<StreamResumeSource>;
   readonly linkFaults: CounterFamily<LinkCloseReason>;
   readonly firstEvent: Histogram;
@@ -78,6 +80,7 @@
       'outcome',
     ),
     permits: registry.counter('permits', 'Permits for replicas that have named a limit', 'event'),
+    credit: registry.counter('credit_units', 'Units of quotas of organisations', 'event'),
     streamResumes: registry.counter(
       'stream_resumes',
       'Streams resumed by their callers, by how their version is known',
--- a/apps/gateway/src/lib/generation_queue.ts
+++ b/apps/gateway/src/lib/generation_queue.ts
@@ -227,6 +227,11 @@
         this.refuseWaiting(request, 'overloaded', nowMs);
         continue;
       }
+      // Other organisations may still have credit.
+      if (outcome === 'quota') {
+        this.queued.set(request, outcome);
+        continue;
+      }
       if (outcome === 'paused' && this.refusePaused(request, nowMs)) continue;
       if (outcome === 'limited') {
         if (this.refuseLimited(request, 0, nowMs)) continue;
@@ -255,7 +260,11 @@
     const selection = this.ctx.selector.select(request, this.waitingFor(modelKeyOf(request)));
     if (selection.kind !== 'found') return selection.kind;
     const {replica, candidate} = selection;
-    if (!this.ctx.tryUsePermit(replica)) return 'limited';
+    if (!request.quota.tryCharge()) return 'quota';
+    if (!this.ctx.tryUsePermit(replica)) {
+      request.quota.releaseUnsent();
+      return 'limited';
+    }
     this.sendTo(request, replica, candidate);
     return 'sent';
   }
@@ -276,7 +285,7 @@
 
   /**
    * Counts the queued requests for the same model that are served first. Requests that wait for an
-   * adapter don't count: their wait is short and delays no others.
+   * adapter or for credit don't count: their wait is short and delays no others.
    */
   private countAhead(request: QueuedGeneration): {ahead: number; aheadAtPriority: number} {
     const counts = {ahead: 0, aheadAtPriority: 0};
@@ -284,7 +293,7 @@
     if (this.waitingFor(model) === 0) return counts;
     const nowMs = this.ctx.clock.monotonicMs();
     for (const [other, outcome] of this.queued) {
-      if (outcome === 'adapter' || modelKeyOf(other) !== model) continue;
+      if (outcome === 'adapter' || outcome === 'quota' || modelKeyOf(other) !== model) continue;
       if (compareQueuedRequests(other, request, nowMs) > 0) continue;
       counts.ahead += 1;
       if (other.priority === request.priority) counts.aheadAtPriority += 1;
--- a/apps/gateway/src/lib/planner_role.ts
+++ b/apps/gateway/src/lib/planner_role.ts
@@ -16,7 +16,7 @@
   type StoreChangesMessage,
 } from '@jasminepost/mesh';
 import type {StoreChange} from '@jasminepost/platform';
-import type {WeightLoadReport} from '@jasminepost/policy';
+import type {CreditBucket, WeightLoadReport} from '@jasminepost/policy';
 import {CrashNewsSender, FLEET_REPORT_BYTES_PER_S} from './crash_news_sender.ts';
 import {PermitRequestHandler} from './permit_request_handler.ts';
 import {Planner, type PlannerContext} from './planner.ts';
@@ -35,6 +35,9 @@
 /** Links are established again within this after a start or an interruption. */
 const UNLINKED_GRACE_MS = 1500;
 
+/** Gateways send their demand every 250 ms; two that are late or lost may be missing. */
+const RECENT_DEMAND_MS = 800;
+
 /** @internal */
 export interface PlannerRoleContext extends Omit<PlannerContext, 'lease' | 'isHeldByOther'> {
   readonly store: KeyValueStore;
@@ -55,6 +58,11 @@
   onLimitNews(message: LimitNewsMessage): void;
   /** Called with permits granted after `requestPermits`. */
   onPermits(message: PermitGrantMessage): void;
+  /** Number of gateways known in all, within the last half minute. */
+  knownGateways(): number;
+  configVersion(): number;
+  /** Bucket of an organisation's quota; undefined without one. */
+  bucketOf(organisation: string): CreditBucket | undefined;
   /** Called for store changes relayed by the planner's gateway. */
   onStoreChanges(message: StoreChangesMessage, asOfMs: number): void;
 }
@@ -92,11 +100,15 @@
       lease: this.lease,
       isHeldByOther: () => this.isHolderKnown && !this.link.holdsRole,
     });
-    this.permitHandler = new PermitRequestHandler(
+    this.permitHandler = new PermitRequestHandler({
       clock,
-      () => this.planner.actingTerm(),
-      () => this.lease.heldTerm() > 0,
-    );
+      actingTerm: () => this.planner.actingTerm(),
+      isConfirmed: () => this.lease.heldTerm() > 0,
+      linkedGateways: () => this.recentGatewayCount(),
+      knownGateways: () => ctx.knownGateways(),
+      configVersion: () => ctx.configVersion(),
+      bucketOf: organisation => ctx.bucketOf(organisation),
+    });
     this.crashNews = new CrashNewsSender(
       clock,
       () => this.reportBytesPerLink(),
@@ -105,7 +117,10 @@
     this.link = new PlannerLink(self, address, authenticator, clock, log, faults, {
       gateways: () => ctx.gateways(),
       collectDemand: () => ctx.collectDemand(),
-      onLocalDemand: message => this.planner.recordDemand(self.id, message),
+      onLocalDemand: message => {
+        this.permitHandler.onTick();
+        this.planner.recordDemand(self.id, message);
+      },
       onStoreChanges: (message, asOfMs) => ctx.onStoreChanges(message, asOfMs),
       crashNews: () => ctx.crashNews(),
       onCrashNews: message => ctx.onCrashNews(message),
@@ -235,6 +250,13 @@
     return FLEET_REPORT_BYTES_PER_S / Math.max(1, this.mesh.links.size);
   }
 
+  /** Gateways whose demand was heard recently, and this one: they use no fallback. */
+  private recentGatewayCount(): number {
+    const sinceMs = this.ctx.clock.monotonicMs() - RECENT_DEMAND_MS;
+    const recent = [...this.lastDemands.values()].filter(({receivedMs}) => receivedMs >= sinceMs);
+    return recent.length + 1;
+  }
+
   private reachesStewards(): boolean {
     const {ctx} = this;
     const nowMs = ctx.clock.monotonicMs();
--- a/apps/gateway/src/lib/service_queue.ts
+++ b/apps/gateway/src/lib/service_queue.ts
@@ -5,6 +5,7 @@
 import {compareQueuedRequests, queuedRequestState, type QueuedRequest} from '@jasminepost/policy';
 import type {GatewayContext} from './gateway_context.ts';
 import {LEAVING_RETRY_AFTER_MS} from './generation_queue.ts';
+import type {QuotaGate} from './quota_gate.ts';
 import type {Replica} from './replica.ts';
 import {chooseServiceReplica} from './service_choice.ts';
 
@@ -17,13 +18,13 @@
 /** A request as the queue sees it. @internal */
 export interface QueuedServiceRequest extends QueuedRequest {
   readonly service: string;
-  /** Replicas on which an attempt has failed. */
   /** Incarnations of replicas that have been tried. */
   readonly excluded: ReadonlySet<string>;
   /** Software version that must serve it; undefined for any. */
   readonly requiredVersion: string | undefined;
   /** True after the first attempt. */
   readonly hasBeenSent: boolean;
+  readonly quota: QuotaGate;
   send(replica: Replica, logFields: Readonly<Record<string, unknown>>): void;
   refuse(reason: string, retryAfterMs: number, logFields: Readonly<Record<string, unknown>>): void;
   /** Time for which it is held because it may crash replicas; 0 when it may be sent. */
@@ -108,7 +109,12 @@
     switch (choice.kind) {
       case 'chosen': {
         const {reportedPaid: reported, ownInFlight, serviceMs} = choice.candidate;
+        if (!request.quota.tryCharge()) {
+          this.waitForCredit(request, listed);
+          return;
+        }
         if (!ctx.limits.tryUsePermit(choice.replica)) {
+          request.quota.releaseUnsent();
           this.queueOrRefuse(request, [choice.replica], listed, ahead);
           return;
         }
@@ -147,6 +153,13 @@
     this.enqueue(request);
   }
 
+  /** Keeps a request that has waited and whose organisation has no credit at the moment. */
+  private waitForCredit(request: QueuedServiceRequest, listed: number): void {
+    if (queuedRequestState(request, this.context().clock.monotonicMs()) === 'hopeless')
+      request.refuse('waited_too_long', DEFAULT_RETRY_AFTER_MS, {listed});
+    else this.enqueue(request);
+  }
+
   private enqueue(request: QueuedServiceRequest): void {
     this.queued.add(request);
     this.recheckTimer ??= setInterval(() => this.dispatchWaiting(), RECHECK_INTERVAL_MS);
--- a/apps/gateway/src/lib/stream_version_gate.ts
+++ b/apps/gateway/src/lib/stream_version_gate.ts
@@ -46,16 +46,20 @@
   ) {}
 
   /** True for a stream that its caller resumes, so that its version must be found first. */
-  get isResumed(): boolean {
+  private get isResumed(): boolean {
     return this.head.resumed !== undefined && this.route.resumable;
   }
 
   /**
-   * Finds the version of a resumed stream.
-   *
-   * @returns False when it can't be determined, so that the stream must not continue.
+   * Calls `onKnown` once the version of a resumed stream is known, and at once for other requests;
+   * `onUnknown` when it can't be determined, so that the stream must not continue.
    */
-  async findVersion(): Promise<boolean> {
+  whenKnown(onKnown: () => void, onUnknown: () => void): void {
+    if (!this.isResumed) onKnown();
+    else void this.findVersion().then(isKnown => (isKnown ? onKnown() : onUnknown()));
+  }
+
+  private async findVersion(): Promise<boolean> {
     const {requestId, resumed} = this.head;
     const {log, metrics, streamVersions} = this.ctx;
     const firstRequestId = resumed?.firstRequestId ?? '';
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -30,6 +30,7 @@
 import {createGatewayMetrics} from './lib/gateway_metrics.ts';
 import {GenerationQueue} from './lib/generation_queue.ts';
 import {GracefulShutdown} from './lib/graceful_shutdown.ts';
+import {OrganisationQuotas} from './lib/organisation_quotas.ts';
 import {PlannerRole} from './lib/planner_role.ts';
 import {PrefillEstimator} from './lib/prefill_estimator.ts';
 import {serveReadiness} from './lib/readiness_server.ts';
@@ -76,6 +77,7 @@
   const self: MemberInfo = {id: instance.id, incarnation, role: 'gateway', zone: instance.zone};
 
   const activeConfig = new ActiveConfig(log, applied => {
+    quotas.apply(applied.organisations ?? []);
     server.applyRoutes(new RouteTable(applied));
     table.applyServices(applied.services);
     for (const replica of table.replicas.values()) stewardLinks.addEngine(replica);
@@ -161,6 +163,19 @@
       services.scheduleDispatch();
     },
   });
+  const quotas = new OrganisationQuotas({
+    clock,
+    log,
+    credit: metrics.credit,
+    slack: instance.bounds.quota.slack,
+    gateways: () => gateways(),
+    configVersion: () => activeConfig.version,
+    ask: message => planner.requestPermits(message),
+    onCredit: () => {
+      generations.scheduleDispatch();
+      services.scheduleDispatch();
+    },
+  });
   const engineSelector = new EngineSelector({
     clock,
     zone: instance.zone,
@@ -208,6 +223,7 @@
     generations,
     services,
     limits,
+    quotas,
     crashes,
     eventMemory: new BufferBudget(instance.memoryBytes * EVENT_MEMORY_SHARE),
     streamVersions: new StreamVersions(),
@@ -249,7 +265,16 @@
     onCrashNews: message => crashNewsSync.onNews(message),
     limitNews: () => limits.news(),
     onLimitNews: message => limits.onNews(message),
-    onPermits: message => limits.onGrant(message),
+    onPermits: message => {
+      if (message.units === undefined) limits.onGrant(message);
+      else quotas.onGrant(message);
+    },
+    knownGateways: () => {
+      const count = gateways();
+      return gatewayCount.known || count;
+    },
+    configVersion: () => activeConfig.version,
+    bucketOf: organisation => quotas.bucketOf(organisation),
     onStoreChanges: (message, asOfMs) => fleetWatcher.applyRelayed(message, asOfMs),
   });
   const fleetWatcher: FleetWatcher = new FleetWatcher(store, log, instance.heartbeatIntervalMs, {
@@ -292,6 +317,7 @@
     stewardLinks.dispose();
     generations.dispose();
     services.dispose();
+    quotas.dispose();
     crashes.dispose();
     crashNewsSync.dispose();
     defaultVersions.dispose();
--- a/features/support/report_flood.ts
+++ b/features/support/report_flood.ts
@@ -187,6 +187,9 @@
     limitNews: () => ({type: 'limit_news', limits: []}),
     onLimitNews: () => undefined,
     onPermits: () => undefined,
+    knownGateways: () => node.role.linkedGatewayCount,
+    configVersion: () => 0,
+    bucketOf: () => undefined,
     onStoreChanges: (message, asOfMs) => {
       node.isDated = Number.isFinite(asOfMs) && asOfMs <= performance.now();
       node.receivedBytes += encodeFrame(message).length;
--- a/packages/mesh/src/lib/limit_messages.ts
+++ b/packages/mesh/src/lib/limit_messages.ts
@@ -1,4 +1,4 @@
-/** Messages between gateways about rate-limited replicas. */
+/** Messages between gateways about rate-limited replicas and quotas of organisations. */
 import * as z from 'zod';
 
 const MAX_REPLICAS = 4096;
@@ -26,11 +26,32 @@
     .max(MAX_REPLICAS),
 });
 
-/** Requests permits for a rate-limited replica from the planner's gateway. @internal */
+const units = z.number().nonnegative();
+
+/** Requests credit for an organisation, whose quota is that of the sender's configuration. */
+const creditAsk = z.object({
+  /** Version of the sender's configuration. */
+  configVersion: z.number(),
+  /** Units in the full bucket, and of the largest request. */
+  size: units,
+  maxUnits: units,
+  /** Units that are granted together or not at all, and those that may be granted in part. */
+  units,
+  more: units,
+  /** Units granted earlier that are given back unused. */
+  returned: units,
+});
+
+/**
+ * Requests permits for a rate-limited replica, or credit for an organisation, from the planner's
+ * gateway. @internal
+ */
 export const permitAsk = z.object({
   type: z.literal('permit_ask'),
+  /** Incarnation of a replica; name of an organisation where `credit` is set. */
   replica,
   perS,
+  credit: creditAsk.optional(),
   /** Repeated in the grant. */
   number: z.number().int().nonnegative(),
   count: z.number().int().positive().max(MAX_PERMITS),
@@ -45,6 +66,8 @@
   permitsInMs: z.array(ms).max(MAX_PERMITS),
   /** Time until the next permit that has not been granted. */
   nextInMs: ms,
+  /** Granted units of credit; set when the request was for credit. */
+  units: units.optional(),
 });
 
 /** @public */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -90,9 +90,22 @@
   type ReplicaAvailability,
   type AvailabilityEvent,
 } from './lib/replica_availability.ts';
-export {PermitPool, type PermitRequest} from './lib/permit_pool.ts';
+export {quotaBucket, type CreditBucket} from './lib/credit_bucket.ts';
+export {
+  ISSUER_TIMEOUT_MS,
+  PermitPool,
+  type Charge,
+  type NumberedCreditRequest,
+  type PermitRequest,
+} from './lib/permit_pool.ts';
 export {correctPace, expectedPace, nextPace, type ReplicaPace} from './lib/replica_pace.ts';
-export {PermitIssuer, type PermitGrant} from './lib/permit_issuer.ts';
+export {
+  PermitIssuer,
+  type CreditGrant,
+  type CreditRequest,
+  type IssuerView,
+  type PermitGrant,
+} from './lib/permit_issuer.ts';
 export {
   NO_RATE_LIMIT,
   nextRateLimit,
--- a/packages/policy/src/lib/fallback_permits.ts
+++ b/packages/policy/src/lib/fallback_permits.ts
@@ -1,7 +1,6 @@
-/** Permits that a gateway gives itself for a rate-limited replica while there is no issuer. */
+/** What a gateway grants itself of a shared rate while there is no issuer, in whole requests. */
+import {FALLBACK_SHARE} from './credit_bucket.ts';
 
-/** Share of the rate limit that all gateways use together: others may still get issued permits. */
-const FALLBACK_LIMIT_SHARE = 0.25;
 /** Time after which an unused permit expires, in milliseconds. */
 const PERMIT_EXPIRY_MS = 1000;
 
@@ -13,6 +12,8 @@
  */
 export class FallbackPermits {
   private nextMs: number | undefined;
+  /** Units of the largest request so far, which sets the length of the periods. */
+  private largestUnits = 0;
 
   /** @param random - Uniform source in [0, 1), for the phase of the gateway's periods. */
   constructor(private readonly random: () => number) {}
@@ -20,21 +21,29 @@
   /**
    * Takes the current permit; false when there is none.
    *
-   * @param perS - The replica's rate limit in requests a second.
-   * @param senders - Gateways that may send to it.
+   * @param perS - The shared rate in units a second; a unit is a request for rate limits.
+   * @param senders - Gateways that share it.
+   * @param units - Units of the request.
    * @example
    * if (fallback.tryTake(1.5, gateways, clock.monotonicMs())) send();
    */
-  tryTake(perS: number, senders: number, nowMs: number): boolean {
-    if (this.waitMs(perS, senders, nowMs) > 0) return false;
-    this.nextMs! += periodMs(perS, senders);
+  tryTake(perS: number, senders: number, nowMs: number, units = 1): boolean {
+    if (this.waitMs(perS, senders, nowMs, units) > 0) return false;
+    this.nextMs! += periodMs(perS, senders, units);
     return true;
   }
 
   /** Time until the next permit, in milliseconds; 0 when one is available. */
-  waitMs(perS: number, senders: number, nowMs: number): number {
-    const period = periodMs(perS, senders);
-    let nextMs = Math.min(this.nextMs ?? nowMs + this.random() * period, nowMs + period);
+  waitMs(perS: number, senders: number, nowMs: number, units = 1): number {
+    const addedUnits = Math.max(0, units - this.largestUnits);
+    if (addedUnits > 0) {
+      // Gateways that see their first larger request together must not all send it together.
+      const delayMs = this.random() * periodMs(perS, senders, addedUnits);
+      this.nextMs = Math.max(this.nextMs ?? nowMs, nowMs) + delayMs;
+      this.largestUnits = units;
+    }
+    const period = periodMs(perS, senders, this.largestUnits);
+    let nextMs = Math.min(this.nextMs ?? nowMs, nowMs + period);
     const missedPeriods = Math.ceil((nowMs - PERMIT_EXPIRY_MS - nextMs) / period);
     if (missedPeriods > 0) nextMs += missedPeriods * period;
     this.nextMs = nextMs;
@@ -42,6 +51,6 @@
   }
 }
 
-function periodMs(perS: number, senders: number): number {
-  return (Math.max(1, senders) * 1000) / (FALLBACK_LIMIT_SHARE * perS);
+function periodMs(perS: number, senders: number, units: number): number {
+  return (Math.max(1, senders) * 1000 * units) / (FALLBACK_SHARE * perS);
 }
