Test quotas by a simulation and with processes; count the fallback at the issuer

One scenario with processes failed in a run of the feature beside other load (requests within the quota refused); under investigation.

--- a/apps/gateway/src/lib/organisation_quotas.ts
+++ b/apps/gateway/src/lib/organisation_quotas.ts
@@ -242,10 +242,10 @@
 
   private send({name, bucket}: Account, request: NumberedCreditRequest): boolean {
     if (name.length > MAX_SUBJECT_CHARS) return false;
-    const {number, units, more, returned} = request;
+    const {number, units, more, returned, fallback} = request;
     const {perS, size, maxUnits} = bucket;
     const configVersion = this.ctx.configVersion();
-    const credit = {configVersion, size, maxUnits, units, more, returned};
+    const credit = {configVersion, size, maxUnits, units, more, returned, fallback};
     return this.ctx.ask({type: 'permit_ask', replica: name, perS, number, count: 1, credit});
   }
 
@@ -254,7 +254,7 @@
       const returned = account.pool.takeReturnable(this.nowMs);
       if (returned <= 0) continue;
       // Number 0 belongs to no request, so that the response is ignored.
-      const isSent = this.send(account, {number: 0, units: 0, more: 0, returned});
+      const isSent = this.send(account, {number: 0, units: 0, more: 0, returned, fallback: 0});
       if (isSent) this.ctx.credit.increment('returned', returned);
     }
   }
--- a/features/steps/rate_limit_steps.ts
+++ b/features/steps/rate_limit_steps.ts
@@ -5,16 +5,12 @@
 import {sleep} from '@jasminepost/core';
 import {maxOverLimit} from '../../stand_ins/users_platform/rate_limit_window.ts';
 import type {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {PLANNER_ELECTION_MS, runDisturbance} from '../support/disturbance.ts';
 import {permitSeries, simulatePermits} from '../support/permit_history.ts';
 import type {UsersFleet} from '../support/users_fleet.ts';
 import {usersScenario, replicas} from '../support/users_scenario.ts';
 import type {FleetWorld} from '../support/world.ts';
 
-/** By then a gateway holds the planner role; gateways learn of each other through it. */
-const PLANNER_ELECTION_MS = 2400;
-/** When a disturbance of a process or the store begins, and how long it lasts. */
-const DISTURBANCE_DELAY_MS = 3000;
-const DISTURBANCE_DURATION_MS = 4000;
 /** Longest time for outstanding responses. */
 const RESPONSE_TIMEOUT_MS = 3500;
 
@@ -55,45 +51,6 @@
   state.answers.push(...(await Promise.all(calls)));
 }
 
-async function runDisturbance(world: FleetWorld, disturbance: string): Promise<void> {
-  const state = usersScenario(world);
-  const {fleet} = state;
-  await sleep(DISTURBANCE_DELAY_MS);
-  const planner = fleet.plannerIndex();
-  const index = disturbance.startsWith('another') ? (planner + 1) % fleet.gateways.length : planner;
-  const {process} = fleet.gateways[index];
-  switch (disturbance.replace(/^(the planner's|another) gateway /, '')) {
-    case 'is stopped and started':
-    case 'is killed and started':
-      state.pausedGateway = index;
-      if (disturbance.includes('killed')) await process.kill();
-      process.signal('SIGTERM');
-      await process.exited;
-      await sleep(DISTURBANCE_DURATION_MS);
-      fleet.restartGateway(index);
-      await sleep(PLANNER_ELECTION_MS);
-      state.pausedGateway = undefined;
-      return;
-    case 'stands still for 4 s':
-      state.pausedGateway = index;
-      process.signal('SIGSTOP');
-      await sleep(DISTURBANCE_DURATION_MS);
-      process.signal('SIGCONT');
-      state.pausedGateway = undefined;
-      return;
-    case 'the stewards are killed':
-      for (const steward of fleet.stewards) await steward.kill();
-      return;
-    case 'the store is away':
-      fleet.store.mode = 'unavailable';
-      await sleep(DISTURBANCE_DURATION_MS);
-      fleet.store.mode = 'up';
-      return;
-    default:
-      assert.fail(disturbance);
-  }
-}
-
 Given('a gateway holds the planner role', async () => {
   await sleep(PLANNER_ELECTION_MS);
 });
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -6,6 +6,7 @@
 import {join} from 'node:path';
 import {MetadataStore} from '../../stand_ins/users_platform/metadata_store.ts';
 import {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
+import {usersSettings, ZONE} from './users_settings.ts';
 import {LoopbackProxy} from './loopback_proxy.ts';
 import {FleetProcess, freePort, until} from './fleet_process.ts';
 
@@ -14,7 +15,6 @@
 /** Models of the configuration; an engine has memory for two of them. */
 export const MODELS = [MODEL, 'summary', 'rare'];
 export const ADAPTERS = 3;
-const ZONE = 'zone-a';
 const READY_TIMEOUT_MS = 10_000;
 /** Bytes of the name and prefix of an unused route. */
 const UNUSED_ROUTE_NAME_BYTES = 48;
@@ -154,6 +154,8 @@
     readonly extraRoutes?: readonly string[];
     /** Approximate length of the document, which is filled up with unused routes. */
     readonly bytes?: number;
+    /** Organisations as the operator writes them; without any, requests need no key. */
+    readonly organisations?: readonly object[];
   }): void {
     const {timeoutMs = 3000, bytes = 0} = change;
     const serviceRoute = {host: HOST, timeoutMs, targetLatencyMs: 200, service: 'orders'};
@@ -210,6 +212,7 @@
         headerTimeoutMs: 3000,
         idleTimeoutMs: 15_000,
       },
+      tenants: change.organisations,
     });
   }
 
@@ -373,28 +376,3 @@
 function wasResetAtEnd(socket: Socket): Promise<boolean> {
   return resetResults.get(socket) ?? Promise.resolve(false);
 }
-
-/** Settings file as the platform writes it. */
-export function usersSettings(node: string, ip: string, extra: object): Record<string, unknown> {
-  return {
-    node,
-    ip,
-    zone: ZONE,
-    bootstrap: true,
-    internalPorts: [7000, 7010],
-    listenAddrs: {},
-    limits: {memoryMb: 350},
-    bounds: {
-      drainMs: 2000,
-      graceS: 5,
-      configApplyMs: 2000,
-      budgetRatio: 0.2,
-      budgetWindowS: 10,
-      budgetSlack: 52,
-      leaseMs: 3000,
-      ceilingWindowS: 5,
-      ceilingOvershoot: 1.1,
-    },
-    ...extra,
-  };
-}
--- a/packages/mesh/src/lib/limit_messages.ts
+++ b/packages/mesh/src/lib/limit_messages.ts
@@ -40,6 +40,8 @@
   more: units,
   /** Units granted earlier that are given back unused. */
   returned: units,
+  /** Units used from the fallback lately. */
+  fallback: units,
 });
 
 /**
--- a/packages/policy/src/lib/permit_issuer.ts
+++ b/packages/policy/src/lib/permit_issuer.ts
@@ -34,6 +34,8 @@
   readonly more: number;
   /** Units granted earlier that are still valid and are given back unused. */
   readonly returned: number;
+  /** Units used from the fallback lately, while the issuer may have kept nothing for it. */
+  readonly fallback: number;
 }
 
 /** @public */
@@ -130,7 +132,7 @@
    * @param subject - Whose bucket it is, such as an organisation.
    * @returns The granted units; 0 if `request.units` are not available.
    * @example
-   * const {units} = issuer.issueCredit('acme', bucket, {units: 2400, more: 0, returned: 0}, nowMs, view);
+   * const {units} = issuer.issueCredit('acme', bucket, ask, clock.monotonicMs(), view);
    */
   issueCredit(
     subject: string,
@@ -144,7 +146,7 @@
     const size = isConfirmed ? bucket.size : Math.min(bucket.size, perMs * UNCONFIRMED_BUCKET_MS);
     const state = this.bucketOf(subject);
     takeBack(state, request.returned, perMs, nowMs);
-    state.assignedMs = Math.max(state.assignedMs, nowMs - size / perMs);
+    state.assignedMs = Math.max(state.assignedMs, nowMs - size / perMs) + request.fallback / perMs;
     const available = () => (nowMs - state.assignedMs) * perMs;
     // A request that is larger than the bucket needs the full bucket and leaves a debt.
     const needed = Math.min(request.units, size);
--- a/packages/policy/src/lib/permit_pool.ts
+++ b/packages/policy/src/lib/permit_pool.ts
@@ -19,6 +19,8 @@
 const DEMAND_WINDOW_MS = 500;
 /** Requests expected while credit is valid from which it is requested in advance. */
 const STEADY_REQUESTS = 3;
+/** Time for which the use of the fallback is reported, until the issuer notices a lost link. */
+const FALLBACK_REPORT_MS = 1000;
 /** Weight of a request in the mean cost. */
 const COST_WEIGHT = 0.1;
 /** Credit that is valid for less than this is returned, in milliseconds. */
@@ -66,6 +68,8 @@
   /** Running mean of the cost of a request. */
   private usualUnits = 0;
   private grantedMs = Number.NEGATIVE_INFINITY;
+  /** Units taken from the fallback that have not been reported to the issuer. */
+  private fallbackUses: Array<{readonly atMs: number; readonly units: number}> = [];
   private lastRetryMs = Number.NEGATIVE_INFINITY;
   private readonly fallback: FallbackPermits;
 
@@ -167,6 +171,8 @@
     if (!this.isIssuerLost(nowMs) || !this.fallback.tryTake(perS, senders, nowMs, units)) {
       return undefined;
     }
+    const recent = this.fallbackUses.filter(({atMs}) => atMs >= nowMs - FALLBACK_REPORT_MS);
+    this.fallbackUses = [...recent, {atMs: nowMs, units}];
     return {units, validUntilMs: nowMs, source: 'fallback'};
   }
 
@@ -201,7 +207,10 @@
     if (this.asked !== undefined) this.isIssuerReachable = false;
     this.asked = {number: ++this.requestCount, sentMs: nowMs};
     const more = Math.max(0, total + wanted - credit - units);
-    return {number: this.requestCount, units, more, returned: 0};
+    const recent = this.fallbackUses.filter(({atMs}) => atMs >= nowMs - FALLBACK_REPORT_MS);
+    const fallback = recent.reduce((sum, use) => sum + use.units, 0);
+    this.fallbackUses = [];
+    return {number: this.requestCount, units, more, returned: 0, fallback};
   }
 
   /** Adds granted credit; false when it belongs to an earlier request. */
