--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -22,6 +22,8 @@
 import {Attempt} from './attempt.ts';
 import {AttemptCount} from './attempt_count.ts';
 import {isFromOtherReplica, recordFirstEvent, recordResponseHead} from './response_head.ts';
+import {QuotaGate} from './quota_gate.ts';
+import {admitRequest, DEFAULT_RETRY_AFTER_MS} from './request_admission.ts';
 import {RequestLog, type AttemptFailure} from './request_log.ts';
 import {notSent, outgoingRequest} from './outgoing_request.ts';
 import {isDelayTolerant, scheduleRequest} from './request_schedule.ts';
@@ -34,8 +36,6 @@
 import type {RequestOutcome} from './gateway_metrics.ts';
 import type {Replica} from './replica.ts';
 
-const DEFAULT_RETRY_AFTER_MS = 300;
-
 /** @internal */
 export class CallerRequest implements WatchedStream {
   readonly arrivedMs: number;
@@ -47,6 +47,7 @@
   readonly abandonedMs: number;
   readonly excluded = new Set<string>();
   readonly isDelayTolerant: boolean;
+  readonly quota: QuotaGate;
 
   readonly deadlineMs: number;
   private exchange: RequestHandle | undefined;
@@ -58,7 +59,7 @@
   private timer: NodeJS.Timeout | undefined;
   readonly relay: ResponseRelay;
   private readonly content: RequestContent;
-  private readonly crashGate: CrashGate;
+  readonly crashGate: CrashGate;
   readonly count: AttemptCount;
   private readonly stallWatch: StallWatch;
   private readonly log: RequestLog;
@@ -74,6 +75,7 @@
     body: Buffer,
     startedMs: number,
   ) {
+    this.quota = new QuotaGate(ctx.quotas, caller.organisation?.name, head.tokens);
     this.arrivedMs = startedMs;
     const {method = 'GET', url: path = '/'} = req;
     this.content = {method, path, body};
@@ -114,8 +116,10 @@
     this.timer = setTimeout(() => this.giveUp('deadline_passed', 0), leftMs);
     onCallerDisconnect(this.res, () => this.onCallerGone());
     this.ctx.retryBudget(this.service).countFirstAttempt(clock.monotonicMs());
-    if (this.versionGate.isResumed) void this.submitResumed();
-    else this.checkAndSubmit();
+    this.versionGate.whenKnown(
+      () => this.checkAndSubmit(),
+      () => this.refuse('stream_version_unknown', DEFAULT_RETRY_AFTER_MS, {}),
+    );
   }
 
   /** Sends the request to a replica; `logFields` are the inputs of the choice of replica. */
@@ -128,6 +132,7 @@
     this.count.sends += 1;
     replica.recordEvent({kind: 'sent'}, nowMs);
     this.versionGate.onSent(replica);
+    this.quota.onSent();
     metrics.waited.recordMs(nowMs - this.arrivedMs);
     this.log.sent(attempt, this.count.sends, this.deadlineMs, logFields);
     this.stallWatch.start(attempt);
@@ -162,7 +167,12 @@
   }
 
   /** Refuses the request as not run, or fails it when an earlier attempt may have run. */
-  refuse(reason: string, retryAfterMs: number, logFields: Readonly<Record<string, unknown>>): void {
+  refuse(
+    reason: string,
+    retryAfterMs: number,
+    logFields: Readonly<Record<string, unknown>>,
+    status: 429 | 503 = 503,
+  ): void {
     if (this.finished) return;
     this.ctx.metrics.refusals.increment(reason);
     if (this.count.runs > 0) {
@@ -170,8 +180,10 @@
       return;
     }
     const leftMs = Math.max(0, this.deadlineMs - this.ctx.clock.monotonicMs());
-    const header = retryAfterHeader(Math.min(retryAfterMs, leftMs));
-    sendLocalResponse(this.res, 503, reason, this.ctx.endsConnection(this.req), header);
+    // Credit comes at its time, also after the deadline of this request.
+    const header = retryAfterHeader(status === 429 ? retryAfterMs : Math.min(retryAfterMs, leftMs));
+    this.quota.refund();
+    sendLocalResponse(this.res, status, reason, this.ctx.endsConnection(this.req), header);
     this.finish('refused', {reason, retryAfterMs: Math.round(retryAfterMs), ...logFields});
   }
 
@@ -179,31 +191,16 @@
     return this.crashGate.holdMs();
   }
 
-  private async submitResumed(): Promise<void> {
-    const isKnown = await this.versionGate.findVersion();
-    if (this.finished) return;
-    if (isKnown) this.checkAndSubmit();
-    else this.refuse('stream_version_unknown', DEFAULT_RETRY_AFTER_MS, {});
-  }
-
-  /** Queues the request for a replica, unless it is suspected of crashing replicas. */
-  private checkAndSubmit(): void {
-    this.crashGate.check(
-      () => this.submitToQueue(),
-      holdMs => this.refuse('crashes_replicas', holdMs, {}),
-    );
-  }
-
   /** Hands the request to the queue for its service, which sends it at once where it can. */
-  private submitToQueue(): void {
-    const refusal = this.versionGate.check();
-    if (refusal !== undefined) {
-      this.refuse(refusal, DEFAULT_RETRY_AFTER_MS, {version: this.requiredVersion});
-      return;
-    }
-    const hasEngine = this.ctx.engineOf(this.service) !== undefined;
-    if (hasEngine && this.head.generation !== undefined) this.ctx.generations.submit(this);
-    else this.ctx.services.submit(this);
+  private checkAndSubmit(): void {
+    if (this.finished) return;
+    const submit = () => {
+      const hasEngine = this.ctx.engineOf(this.service) !== undefined;
+      if (hasEngine && this.head.generation !== undefined) this.ctx.generations.submit(this);
+      else this.ctx.services.submit(this);
+      this.quota.releaseUnsent();
+    };
+    admitRequest(this, submit, (...refusal) => this.refuse(...refusal));
   }
 
   private onHead(head: ReplicaResponseHead): void {
@@ -392,6 +389,7 @@
     if (this.finished) return;
     this.finished = true;
     clearTimeout(this.timer);
+    this.quota.releaseUnsent();
     this.crashGate.dispose();
     this.relay.dispose();
     this.ctx.metrics.endings.increment(outcome);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -98,13 +98,14 @@
   type ReplicaAvailability,
   type AvailabilityEvent,
 } from './lib/replica_availability.ts';
+export {quotaBucket, type CreditBucket} from './lib/credit_bucket.ts';
 export {
-  decideStall,
-  type StallDecision,
-  type StallInput,
-  type StallReason,
-} from './lib/stall_decision.ts';
-export {PermitPool, type PermitRequest} from './lib/permit_pool.ts';
+  ISSUER_TIMEOUT_MS,
+  PermitPool,
+  type Charge,
+  type NumberedCreditRequest,
+  type PermitRequest,
+} from './lib/permit_pool.ts';
 export {
   correctPace,
   expectedPace,
@@ -112,7 +113,19 @@
   reportedPace,
   type ReplicaPace,
 } from './lib/replica_pace.ts';
-export {PermitIssuer, type PermitGrant} from './lib/permit_issuer.ts';
+export {
+  decideStall,
+  type StallDecision,
+  type StallInput,
+  type StallReason,
+} from './lib/stall_decision.ts';
+export {
+  PermitIssuer,
+  type CreditGrant,
+  type CreditRequest,
+  type IssuerView,
+  type PermitGrant,
+} from './lib/permit_issuer.ts';
 export {
   NO_RATE_LIMIT,
   nextRateLimit,
