--- a/bench/decision_cost.ts
+++ b/bench/decision_cost.ts
@@ -10,6 +10,7 @@
   type RouteCandidate,
   type Ticket,
 } from '@jasminepost/policy';
+import {OrganisationDirectory} from '@jasminepost/serving';
 import {SeededRandom} from './random.ts';
 
 const REPLICAS = 1000;
@@ -18,6 +19,7 @@
 const SLOTS = 8;
 const COPIES_PER_REPLICA = 4;
 const SEED = 11;
+const LOOKUPS_PER_RUN = 100;
 
 function measure(name: string, runs: number, run: (index: number) => void): void {
   const histogram = new Histogram(name, '');
@@ -111,6 +113,7 @@
     });
   }
   measure('admit, start and release', 50_000, createAdmissionRun());
+  for (const count of [16, 100_000]) measureKeyLookup(count);
   measureMessages();
   const models = createDemands();
   const plannedReplicas = createReplicas(random, true);
@@ -146,6 +149,18 @@
   };
 }
 
+/** Lookups of known and unknown keys in turn; one run does many, as one takes microseconds. */
+function measureKeyLookup(keys: number): void {
+  const apiKeys = Array.from({length: keys}, (_, i) => `api-key-of-a-caller-${i}`);
+  const organisation = {name: 'a', apiKeys, priority: undefined, quota: undefined};
+  const directory = new OrganisationDirectory([organisation]);
+  measure(`${LOOKUPS_PER_RUN} lookups among ${keys} keys`, 2000, run => {
+    for (let i = 0; i < LOOKUPS_PER_RUN; i++) {
+      directory.find(apiKeys[((run * LOOKUPS_PER_RUN + i) * 7919) % (2 * keys)] ?? `unknown-${i}`);
+    }
+  });
+}
+
 function measureMessages(): void {
   const load = {type: 'load', paid: 5, trial: 2, serviceMs: 900, nextMs: 500} as const;
   const chunk = {
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -1,13 +1,13 @@
 /** Gateway and steward processes between stand-ins for the users' platform and replicas. */
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {request, type Agent} from 'node:http';
-import type {Socket} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {MetadataStore} from '../../stand_ins/users_platform/metadata_store.ts';
 import {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
 import {LoopbackProxy} from './loopback_proxy.ts';
 import {FleetProcess, freePort, until} from './fleet_process.ts';
+import {wasResetAtEnd, watchForReset} from './reset_watch.ts';
 
 export const HOST = 'tables.example';
 export const MODEL = 'draft';
@@ -34,14 +34,22 @@
   readonly path: string;
   readonly id?: string;
   readonly method?: string;
-  readonly body?: string;
-  readonly headers?: Readonly<Record<string, string>>;
+  /** As bytes, it is sent after the head, whose bytes are kept; Node encodes a string with both as UTF-8. */
+  readonly body?: string | Buffer;
+  readonly headers?: Readonly<Record<string, string | string[]>>;
   readonly agent?: Agent;
   /** Aborts the request after this time. */
   readonly abortAfterMs?: number;
   readonly gateway?: number;
 }
 
+/** Organisation as it is written in the configuration. */
+export interface TestOrganisation {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+  readonly priority?: number;
+}
+
 interface Gateway {
   process: FleetProcess;
   readonly ip: string;
@@ -154,6 +162,9 @@
     readonly extraRoutes?: readonly string[];
     /** Approximate length of the document, which is filled up with unused routes. */
     readonly bytes?: number;
+    readonly organisations?: readonly TestOrganisation[];
+    /** Routes that need no key. */
+    readonly anonymous?: readonly string[];
   }): void {
     const {timeoutMs = 3000, bytes = 0} = change;
     const serviceRoute = {host: HOST, timeoutMs, targetLatencyMs: 200, service: 'orders'};
@@ -165,7 +176,7 @@
       targetGapMs: 250,
       service: 'models',
     };
-    const routes: unknown[] = [
+    const routes: Array<Readonly<Record<string, unknown>>> = [
       {...serviceRoute, name: 'order', pathPrefix: '/order/', kind: 'unsafe', attempts: 1},
       {...serviceRoute, name: 'read', pathPrefix: '/read/', kind: 'safe', attempts: 2},
       {...streamingRoute, name: 'draft', pathPrefix: '/draft/', attempts: 1, canResume: false},
@@ -197,9 +208,14 @@
       loadsPerS: 5,
       models: MODELS.map(name => model(name, name === MODEL ? ADAPTERS : 0)),
     };
+    const {organisations, anonymous = []} = change;
     this.store.put('op/config', {
       version: this.version++,
-      routes,
+      routes: routes.map(route => ({
+        ...route,
+        anonymous: anonymous.includes(String(route['name'])),
+      })),
+      ...(organisations === undefined ? {} : {tenants: organisations}),
       services: [
         {name: 'orders', maxConnections: 50},
         {name: 'models', maxConnections: 50, engine},
@@ -355,25 +371,6 @@
   }
 }
 
-/** Whether an apparently regular end of a connection was a reset; see `ResetDetector`. */
-const resetResults = new WeakMap<Socket, Promise<boolean>>();
-const watched = new WeakSet<Socket>();
-
-function watchForReset(socket: Socket): void {
-  if (watched.has(socket)) return;
-  watched.add(socket);
-  socket.prependListener('end', () => {
-    const wasReset = new Promise<boolean>(resolve => {
-      socket.write('', error => resolve(error instanceof Error));
-    });
-    resetResults.set(socket, wasReset);
-  });
-}
-
-function wasResetAtEnd(socket: Socket): Promise<boolean> {
-  return resetResults.get(socket) ?? Promise.resolve(false);
-}
-
 /** Settings file as the platform writes it. */
 export function usersSettings(node: string, ip: string, extra: object): Record<string, unknown> {
   return {
--- a/scripts/mutant_list.ts
+++ b/scripts/mutant_list.ts
@@ -360,4 +360,18 @@
     replace: '',
     features: ['features/unneeded_responses.feature', '--name', 'slowly'],
   },
+  {
+    name: 'keys are forwarded to replicas',
+    file: 'platform/src/lib/request_headers.ts',
+    find: 'caller !== undefined && isIdentityHeader(name)',
+    replace: 'caller !== undefined && isIdentityHeader(name) && false',
+    features: ['features/organisation_keys.feature', '--name', 'forged name gets'],
+  },
+  {
+    name: 'an unknown key gets 401 whatever the age of the configuration',
+    file: 'packages/policy/src/lib/key_check.ts',
+    find: 'isNewerAnnounced || ageMs >= applyMs ?',
+    replace: 'isNewerAnnounced || applyMs < 0 * ageMs ?',
+    features: ['features/organisation_keys.feature', '--name', 'cut off from the store'],
+  },
 ];
