--- a/stand_ins/users_platform/recorded_request.ts
+++ b/stand_ins/users_platform/recorded_request.ts
@@ -1,5 +1,5 @@
 /** A request that a replica stand-in has started to run. */
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
 export interface RecordedRequest {
   readonly id: string;
@@ -10,6 +10,14 @@
   readonly arrivedMs: number;
   /** True if the caller closed the connection before the end of the response. */
   abandoned: boolean;
+  /** Time of this, or of the end of the response. */
+  closedMs?: number;
+}
+
+/** Records that the connection of its response was closed, or the response complete. */
+export function noteClosed(request: RecordedRequest, res: ServerResponse): void {
+  request.abandoned = !res.writableFinished;
+  request.closedMs = performance.now();
 }
 
 /** Ids of all parts of the request's prompt but the last. */
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -12,7 +12,7 @@
 import {sendReport} from './replica_report.ts';
 import {streamEvents, writeStreamHead, type StreamFault} from './replica_stream.ts';
 import type {RepeatedRefusal} from './repeated_refusal.ts';
-import {sharedParts, type RecordedRequest} from './recorded_request.ts';
+import {noteClosed, sharedParts, type RecordedRequest} from './recorded_request.ts';
 import {maxOverLimit} from './rate_limit_window.ts';
 import type {ReplicaFault} from './replica_fault.ts';
 
@@ -64,6 +64,8 @@
   loadMs = 60;
   /** Time from a request for a report to the report. */
   reportDelayMs = 0;
+  /** Time for which each new stream is silent after its first event, besides `eventMs`. */
+  pauseAfterFirstMs = 0;
   /** Interval between two events of a stream. */
   eventMs = 15;
   /** How every response, or every report, continues without end; undefined for normal ones. */
@@ -238,7 +240,7 @@
       if (this.crashAfterMs > 0) await sleep(this.crashAfterMs);
       return this.crash(startCount);
     }
-    res.on('close', () => (request.abandoned = !res.writableFinished));
+    res.on('close', () => noteClosed(request, res));
     const {startCount} = this;
     await sleep(this.workMs);
     if (sharedParts(request).some(part => this.crashingParts.has(part))) {
@@ -275,7 +277,7 @@
   /** Headers that identify this replica's response. */
   private ownHeaders({id}: RecordedRequest): Record<string, string> {
     const signature = {'response-signature': `sig.${this.id}.${id}`};
-    return {'request-id': id, 'server-load': '1,0,8', ...signature};
+    return {'request-id': id, 'server-load': '1,0,8', ...signature, ...this.extraHeaders};
   }
 
   private async respond(
@@ -336,6 +338,7 @@
               fault: this.streamFault,
               cutsEvent: this.fault === 'cut in an event',
               eventMs: this.eventMs,
+              pauseAfterFirstMs: this.pauseAfterFirstMs,
               version: this.version,
             },
             headers,
--- a/stand_ins/users_platform/replica_stream.ts
+++ b/stand_ins/users_platform/replica_stream.ts
@@ -31,6 +31,7 @@
   readonly version: string;
   /** Interval between two events. */
   readonly eventMs: number;
+  readonly pauseAfterFirstMs: number;
 }
 
 /** Writes the head of a stream that has neither a length nor chunks. */
@@ -45,7 +46,7 @@
 
 /** @param headers - Headers that every response of the replica has. */
 export async function streamEvents(
-  {fault, cutsEvent, eventMs, version}: StreamOptions,
+  {fault, cutsEvent, eventMs, pauseAfterFirstMs, version}: StreamOptions,
   headers: Record<string, string>,
   req: IncomingMessage,
   res: ServerResponse,
@@ -76,7 +77,7 @@
       return;
     }
     res.write(event);
-    await sleep(eventMs);
+    await sleep(id === 1 ? eventMs + pauseAfterFirstMs : eventMs);
   }
   res.end();
 }
