--- a/apps/gateway/src/lib/organisation_quotas.ts
+++ b/apps/gateway/src/lib/organisation_quotas.ts
@@ -8,6 +8,7 @@
   type Charge,
   type CreditBucket,
   type NumberedCreditRequest,
+  type QuotaTolerance,
 } from '@jasminepost/policy';
 import type {Organisation, Quota} from '@jasminepost/serving';
 
@@ -17,6 +18,8 @@
 const RETRY_AFTER_JITTER_MS = 200;
 /** Retry delay of a request that is larger than the quota ever allows at once. */
 const OVERSIZED_RETRY_AFTER_MS = 10_000;
+/** The tolerance is stated in tokens, so it means nothing for quotas of requests. */
+const NO_TOLERANCE: QuotaTolerance = {slack: 0, overshoot: 0, windowMs: 0};
 /** Longest subject of a message. */
 const MAX_SUBJECT_CHARS = 300;
 
@@ -46,7 +49,7 @@
   readonly log: Logger;
   readonly credit: CounterFamily<CreditEvent>;
   /** Units tolerated above a quota in a window. */
-  readonly slack: number;
+  readonly tolerance: QuotaTolerance;
   /** Number of gateways that share the quotas. */
   gateways(): number;
   configVersion(): number;
@@ -86,7 +89,7 @@
     const accounts = new Map<string, Account>();
     for (const {name, quota} of organisations) {
       if (quota === undefined) continue;
-      const bucket = quotaBucket(quota, quota.unit === 'token' ? this.ctx.slack : 0);
+      const bucket = quotaBucket(quota, quota.unit === 'token' ? this.ctx.tolerance : NO_TOLERANCE);
       const account = this.accounts.get(name);
       if (account === undefined) {
         const pool = new PermitPool(Math.random);
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -166,7 +166,7 @@
     clock,
     log,
     credit: metrics.credit,
-    slack: instance.bounds.quota.slack,
+    tolerance: instance.bounds.quota,
     gateways: () => gateways(),
     configVersion: () => activeConfig.version,
     ask: message => planner.requestPermits(message),
--- a/features/steps/quota_steps.ts
+++ b/features/steps/quota_steps.ts
@@ -4,7 +4,12 @@
 import fc from 'fast-check';
 import {sleep} from '@jasminepost/core';
 import {PermitIssuer, PermitPool, quotaBucket} from '@jasminepost/policy';
-import {creditSeries, simulateCredit, type CreditSeries} from '../support/credit_history.ts';
+import {
+  creditSeries,
+  simulateCredit,
+  TOLERANCE,
+  type CreditSeries,
+} from '../support/credit_history.ts';
 import {until} from '../support/fleet_process.ts';
 import {runDisturbance} from '../support/disturbance.ts';
 import {usersScenario, replicas} from '../support/users_scenario.ts';
@@ -199,7 +204,7 @@
   '{int} requests of {int} at once, each {int} s, are not refused under a quota of {int} units',
   (count: number, units: number, everyS: number, perS: number) => {
     const issuer = new PermitIssuer(0);
-    const bucket = quotaBucket({perS, burst: perS}, SLACK);
+    const bucket = quotaBucket({perS, burst: perS}, TOLERANCE);
     const view = {isConfirmed: true, linked: count, known: count};
     const pools = Array.from({length: count}, () => new PermitPool(() => 0.5));
     for (let nowMs = 5000; nowMs < 60_000; nowMs += everyS * 1000) {
@@ -216,7 +221,7 @@
 
 Then('credit can be used within 300 ms of its request and not later', () => {
   const view = {isConfirmed: true, linked: 1, known: 1};
-  const bucket = quotaBucket({perS: 4200, burst: 4200}, SLACK);
+  const bucket = quotaBucket({perS: 4200, burst: 4200}, TOLERANCE);
   for (const [grantedMs, usedMs, isUsable] of [
     [5002, 5299, true],
     [5002, 5301, false],
@@ -233,7 +238,7 @@
 
 Then('a new issuer has issued at most {int} units by {int} ms', (units: number, nowMs: number) => {
   const issuer = new PermitIssuer(0);
-  const bucket = quotaBucket({perS: 4200, burst: 4200}, SLACK);
+  const bucket = quotaBucket({perS: 4200, burst: 4200}, TOLERANCE);
   const view = {isConfirmed: true, linked: 1, known: 1};
   const ask = {units: 0, more: 1e6, returned: 0, fallback: 0};
   const grant = issuer.issueCredit('acme', bucket, ask, nowMs, view);
@@ -243,7 +248,7 @@
 Then(
   'of {int} issuers of which one may have been replaced, both issue at most the rate in sum',
   (count: number) => {
-    const bucket = quotaBucket({perS: 4200, burst: 4200}, SLACK);
+    const bucket = quotaBucket({perS: 4200, burst: 4200}, TOLERANCE);
     const ask = {units: 0, more: 1e6, returned: 0, fallback: 0};
     for (const linked of [0, 1, 5, 9]) {
       const issuers = Array.from({length: count}, () => new PermitIssuer(0));
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -98,7 +98,7 @@
   type ReplicaAvailability,
   type AvailabilityEvent,
 } from './lib/replica_availability.ts';
-export {quotaBucket, type CreditBucket} from './lib/credit_bucket.ts';
+export {quotaBucket, type CreditBucket, type QuotaTolerance} from './lib/credit_bucket.ts';
 export {
   ISSUER_TIMEOUT_MS,
   PermitPool,
--- a/packages/policy/src/lib/credit_bucket.ts
+++ b/packages/policy/src/lib/credit_bucket.ts
@@ -3,7 +3,12 @@
 /** Share of a rate that gateways without an issuer use together. @internal */
 export const FALLBACK_SHARE = 0.25;
 /** Part of the tolerated slack that enlarges the bucket, so that requests of 2,400 units fit. */
-const SLACK_SHARE = 0.25;
+const SLACK_SHARE = 0.5;
+/**
+ * Part of the tolerated overshoot that enlarges it. The rest is for credit that is used later than
+ * it was issued, and for the fallback of gateways that have lost the issuer.
+ */
+const OVERSHOOT_SHARE = 0.4;
 /** Part of the tolerated slack up to which one request may exceed the bucket. */
 const OVERSIZE_SLACK_SHARE = 0.5;
 /** Part of a second of the rate by which one request may exceed the bucket. */
@@ -19,21 +24,31 @@
   readonly maxUnits: number;
 }
 
+/** What is tolerated above a quota in a window; nothing where the units are requests. @public */
+export interface QuotaTolerance {
+  readonly slack: number;
+  readonly overshoot: number;
+  readonly windowMs: number;
+}
+
 /**
- * Token bucket for a quota. Handles a small organisation whose burst is less than two requests.
+ * Token bucket for a quota. Handles a small organisation whose burst is less than two requests, and
+ * requests of a larger one that come in clumps: what the operator tolerates in a window is used in
+ * part, so that few requests within the quota are refused.
  *
  * @param quota - Units per second, and burst in units.
- * @param slack - Units tolerated above the quota in a window; 0 where the units are requests.
+ * @param tolerance - Units tolerated above the quota in a window.
  * @example
- * quotaBucket({perS: 4200, burst: 4200}, 17_000).size; // 8450
+ * quotaBucket({perS: 4200, burst: 4200}, {slack: 17_000, overshoot: 0.1, windowMs: 8000}).size; // 14,044
  * @public
  */
 export function quotaBucket(
   quota: {readonly perS: number; readonly burst: number},
-  slack: number,
+  {slack, overshoot, windowMs}: QuotaTolerance,
 ): CreditBucket {
   const {perS, burst} = quota;
-  const size = burst + SLACK_SHARE * slack;
+  const overshootUnits = (overshoot * perS * windowMs) / 1000;
+  const size = burst + SLACK_SHARE * slack + OVERSHOOT_SHARE * overshootUnits;
   // A single unit always fits: otherwise a quota of one request per minute would refuse them all.
   const maxUnits = Math.max(1, burst + OVERSIZE_SLACK_SHARE * slack + OVERSIZE_S * perS);
   return {perS, size, maxUnits: Math.max(size, maxUnits)};
