Test that an announced configuration counts until it is read

Cause: no test guarded the 503 of a gateway that is told of a newer configuration by another one. A step of organisation_keys.feature was ambiguous with one of users_platform.feature, whose scenario on reserved headers failed for it.

--- a/features/organisation_keys.feature
+++ b/features/organisation_keys.feature
@@ -3,7 +3,7 @@
   # A key that reached a replica could be read there, and a forged name would be believed.
   Scenario Outline: a request with <header> gets <status>, and its replica is told <told>
     Given a users' fleet with organisations
-    When a caller sends <what> with <header>
+    When a caller with <header> sends <what>
     Then its status is <status>, and the replica was told <told>
     And no replica has seen a key, and no log names one
 
@@ -30,7 +30,7 @@
   # Deployments without organisations use these headers for their own purposes.
   Scenario: without organisations the headers of callers pass through
     Given a users' fleet of 1 service replicas, 0 engines and 1 gateway
-    When a caller sends an order with a key and a forged name
+    When a caller with a key and a forged name sends an order
     Then its status is 200, and the replica was told forged
     And the replica has seen the key
 
@@ -53,7 +53,7 @@
   Scenario Outline: a gateway <state> answers an unknown key with <status>
     Given a users' fleet with organisations
     When the gateway is <state>
-    And a caller sends an order with an unknown key
+    And a caller with an unknown key sends an order
     Then its status is <status>, and the replica was told nothing
     And its Retry-After is <retry>
 
@@ -122,3 +122,7 @@
       | 2            | 0     | 6              |
       | 3            | 0     | 9              |
       | 8            | 1     | 9              |
+
+  # A gateway with a silent connection to the store answered 401 to a key that had been added.
+  Scenario: a newer configuration counts as announced from the report of another gateway until it is read
+    Then a newer configuration counts as announced only between its report and its read
--- a/features/steps/organisation_key_steps.ts
+++ b/features/steps/organisation_key_steps.ts
@@ -10,6 +10,7 @@
   type AcceptedKey,
   type KeyCheck,
 } from '@jasminepost/policy';
+import {announceConfiguration} from '../support/announced_config.ts';
 import {until} from '../support/fleet_process.ts';
 import {RawConnection} from '../support/raw_connection.ts';
 import {
@@ -85,8 +86,8 @@
 });
 
 When(
-  /^a caller sends (an order|a large order|a draft|a read|an unknown path) with (.+)$/,
-  async function (this: FleetWorld, what: string, header: string) {
+  /^a caller with (.+) sends (an order|a large order|a draft|a read|an unknown path)$/,
+  async function (this: FleetWorld, header: string, what: string) {
     const {fleet} = usersScenario(this);
     const body = Buffer.alloc(what === 'a large order' ? LARGE_BODY_BYTES : 1);
     const headers = HEADERS[header];
@@ -280,3 +281,10 @@
     for (const row of rows) assert.equal(enginePriority(row), row.engine);
   },
 );
+
+Then(
+  'a newer configuration counts as announced only between its report and its read',
+  async function () {
+    assert.deepEqual(await announceConfiguration(), [false, true, false]);
+  },
+);
