--- a/apps/gateway/src/lib/stall_watch.ts
+++ b/apps/gateway/src/lib/stall_watch.ts
@@ -92,7 +92,7 @@
   private inputAt(nowMs: number, attempt: Attempt): StallInput {
     const {arrivedMs, route, relay, versionGate, count, deadlineMs} = this.stream;
     return {
-      canMove: versionGate.mayMove && (!relay.headSent || relay.isStream),
+      canMove: route.resumable && versionGate.mayMove && (!relay.headSent || relay.isStream),
       pace: attempt.replica.paceAt(nowMs),
       hadEvent: attempt.firstEventMs > 0,
       silentMs: nowMs - this.progressMs,
