Test a gateway's memory under hostile callers

Cause: callers outside the limits have ended gateways. No test started a gateway of the smallest size under such input. Scenarios with the tag @alone run one at a time after all others. Settings of the users' platform have a file of their own.

--- a/features/steps/users_settings_steps.ts
+++ b/features/steps/users_settings_steps.ts
@@ -5,7 +5,7 @@
 import {join} from 'node:path';
 import {Then, When} from '@cucumber/cucumber';
 import {runToEnd} from '../support/fleet_process.ts';
-import {usersSettings} from '../support/users_fleet.ts';
+import {usersSettings} from '../support/users_settings.ts';
 import type {FleetWorld} from '../support/world.ts';
 
 const exits = new WeakMap<FleetWorld, {readonly code: number; readonly output: string}>();
--- a/features/support/fleet_process.ts
+++ b/features/support/fleet_process.ts
@@ -60,8 +60,10 @@
     readonly args: readonly string[],
     /** True opens a standard input for `answer`. */
     isInteractive = false,
+    /** Options of Node.js, before the program. */
+    readonly nodeArgs: readonly string[] = [],
   ) {
-    this.child = spawn(process.execPath, [`${DIST}/${program}.js`, ...args], {
+    this.child = spawn(process.execPath, [...nodeArgs, `${DIST}/${program}.js`, ...args], {
       stdio: [isInteractive ? 'pipe' : 'ignore', 'pipe', 'pipe'],
     });
     const append = (data: Buffer) => this.log.push(data.toString('utf8'));
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -8,13 +8,13 @@
 import {UsersReplica} from '../../stand_ins/users_platform/replica.ts';
 import {LoopbackProxy} from './loopback_proxy.ts';
 import {FleetProcess, freePort, until} from './fleet_process.ts';
+import {usersSettings, ZONE} from './users_settings.ts';
 
 export const HOST = 'tables.example';
 export const MODEL = 'draft';
 /** Models of the configuration; an engine has memory for two of them. */
 export const MODELS = [MODEL, 'summary', 'rare'];
 export const ADAPTERS = 3;
-const ZONE = 'zone-a';
 const READY_TIMEOUT_MS = 10_000;
 /** Bytes of the name and prefix of an unused route. */
 const UNUSED_ROUTE_NAME_BYTES = 48;
@@ -67,6 +67,11 @@
   readonly replicaProxies = new Map<UsersReplica, LoopbackProxy>();
   /** Bandwidth of each gateway's link to the store; set it before the start. */
   storeBytesPerMs = Number.POSITIVE_INFINITY;
+  /** Memory of each process, and options of Node.js for it; set them before the start. */
+  memoryMb = 350;
+  nodeArgs: readonly string[] = [];
+  /** Largest body that the configuration allows. */
+  bodyBytes = 65_536;
   private readonly storeProxies: LoopbackProxy[] = [];
   private readonly hosts = new Map<UsersReplica, string>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'jasminepost-users-'));
@@ -206,7 +211,7 @@
       ],
       limits: {
         headerBytes: 16_384,
-        bodyBytes: 65_536,
+        bodyBytes: this.bodyBytes,
         headerTimeoutMs: 3000,
         idleTimeoutMs: 15_000,
       },
@@ -291,13 +296,14 @@
     const path = gateway.process.args[1];
     const settings = JSON.parse(readFileSync(path, 'utf8')) as object;
     writeFileSync(path, JSON.stringify({...settings, bootstrap: false}));
-    gateway.process = new FleetProcess(gateway.process.program, gateway.process.args);
+    const {program, args, nodeArgs} = gateway.process;
+    gateway.process = new FleetProcess(program, args, false, nodeArgs);
   }
 
   /** Restarts a steward that has exited, at the same address. */
   restartSteward(index: number): void {
-    const {program, args} = this.stewards[index];
-    this.stewards[index] = new FleetProcess(program, args);
+    const {program, args, nodeArgs} = this.stewards[index];
+    this.stewards[index] = new FleetProcess(program, args, false, nodeArgs);
   }
 
   private async addReplicaProxies(): Promise<void> {
@@ -328,11 +334,13 @@
         usersSettings(id, ip, {
           internalPorts: [this.meshPort, this.meshPort + 10],
           platform: {address: this.storeAddress, ttlMinMs: 1000},
+          limits: {memoryMb: this.memoryMb},
           ...extra,
         }),
       ),
     );
-    return new FleetProcess(program, ['--config', path, '--mesh-key', MESH_KEY]);
+    const args = ['--config', path, '--mesh-key', MESH_KEY];
+    return new FleetProcess(program, args, false, this.nodeArgs);
   }
 
   async addReplica(service: string, isEngine: boolean): Promise<UsersReplica> {
@@ -373,28 +381,3 @@
 function wasResetAtEnd(socket: Socket): Promise<boolean> {
   return resetResults.get(socket) ?? Promise.resolve(false);
 }
-
-/** Settings file as the platform writes it. */
-export function usersSettings(node: string, ip: string, extra: object): Record<string, unknown> {
-  return {
-    node,
-    ip,
-    zone: ZONE,
-    bootstrap: true,
-    internalPorts: [7000, 7010],
-    listenAddrs: {},
-    limits: {memoryMb: 350},
-    bounds: {
-      drainMs: 2000,
-      graceS: 5,
-      configApplyMs: 2000,
-      budgetRatio: 0.2,
-      budgetWindowS: 10,
-      budgetSlack: 52,
-      leaseMs: 3000,
-      ceilingWindowS: 5,
-      ceilingOvershoot: 1.1,
-    },
-    ...extra,
-  };
-}
--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -11,6 +11,8 @@
 const CUCUMBER = 'node_modules/@cucumber/cucumber/bin/cucumber.js';
 const FORMATTER = './scripts/failure_formatter.ts';
 const PARALLEL = '3';
+/** Scenarios that measure memory run one at a time, after all others. */
+const ALONE = '@alone';
 
 interface Step {
   readonly result?: {readonly status: string; readonly error_message?: string};
@@ -26,13 +28,19 @@
 }
 
 /** Runs cucumber; resolves with the features of its report, or none if it wrote no report. */
-async function runCucumber(report: string, args: readonly string[]): Promise<Feature[]> {
+async function runCucumber(
+  report: string,
+  tags: string,
+  parallel: readonly string[],
+  args: readonly string[],
+): Promise<Feature[]> {
   const flags = [
     '--import',
     'tsx',
     CUCUMBER,
-    '--parallel',
-    PARALLEL,
+    ...parallel,
+    '--tags',
+    tags,
     '--format',
     FORMATTER,
     '--format',
@@ -47,7 +55,15 @@
   const folder = mkdtempSync(join(tmpdir(), 'jasminepost-report-'));
   const selectedPaths = process.argv.slice(2);
   const paths = selectedPaths.length > 0 ? selectedPaths : ['features/*.feature'];
-  const features = await runCucumber(join(folder, 'report.json'), paths);
+  const features = [
+    ...(await runCucumber(
+      join(folder, 'report.json'),
+      `not ${ALONE}`,
+      ['--parallel', PARALLEL],
+      paths,
+    )),
+    ...(await runCucumber(join(folder, 'alone.json'), ALONE, [], paths)),
+  ];
   rmSync(folder, {recursive: true});
   const knownFailures = readKnownFailures();
   process.stdout.write('\n');
