Hold what callers send and leave unread in one memory budget

Cause: bodies, pipelined requests and unread responses had no common limit. It refuses a body with 503 before it is read, and evicts stalled buffers, then the largest. Bodies are kept in blocks. A connection pauses at 16 requests ahead and is closed beyond 128.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -91,7 +91,7 @@
     this.isRetryable = route.kind === 'idempotent' || route.resumable;
     const {method = ''} = req;
     const onEvicted = () => setImmediate(() => this.checkEvents());
-    this.relay = new ResponseRelay(res, method, route.resumable, ctx.eventMemory, onEvicted);
+    this.relay = new ResponseRelay(res, method, route.resumable, ctx.memory.events, onEvicted);
     const times = scheduleRequest(ctx, head, route, startedMs);
     this.deadlineMs = times.deadlineMs;
     this.sendByMs = times.sendByMs;
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for callers: routing, request limits, and requests in progress. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {readBody, RequestSequence} from '@jasminepost/caller';
+import {announcedBytes, readBody, RequestSequence} from '@jasminepost/caller';
 import {assertNever, listenOn, errorMessage, type HostPort} from '@jasminepost/core';
 import {parseCallerHeaders, retryAfterHeader} from '@jasminepost/platform';
 import type {RouteTable} from '@jasminepost/serving';
@@ -16,6 +16,8 @@
 /** Time within which a gateway without a configuration has usually read one. */
 const NO_CONFIG_RETRY_AFTER_MS = 800;
 const RETRY_AFTER_JITTER_MS = 200;
+/** Time in which the memory of stalled callers, or of requests in progress, becomes free. */
+const MEMORY_RETRY_AFTER_MS = 2000;
 /** Backlog of connections that have not been accepted yet. */
 const LISTEN_BACKLOG = 1024;
 
@@ -26,6 +28,7 @@
   private readonly sequence = new RequestSequence({
     onRequest: (req, res, arrivedMs) => this.handle(req, res, arrivedMs),
     onFollowed: () => undefined,
+    onTooManyAhead: requests => this.ctx().memory.recordEviction('pipelined', {requests}),
   });
   private routes: RouteTable | undefined;
   /** Number of requests whose body is being read. */
@@ -49,6 +52,7 @@
   }
 
   async listen(address: HostPort): Promise<void> {
+    this.ctx().memory.watch(this.server, socket => this.sequence.waitingOn(socket));
     await listenOn(this.server, address, LISTEN_BACKLOG);
   }
 
@@ -130,16 +134,27 @@
     maxBytes: number,
     startedMs: number,
   ): Promise<void> {
+    const {memory} = this.ctx();
+    const bytes = announcedBytes(req);
+    if (bytes > 0 && bytes <= maxBytes && !memory.budget.admits(bytes)) {
+      req.on('data', (chunk: Buffer) => memory.garbage.recordShortLived(chunk.length));
+      this.refuseForMemory(req, res, bytes);
+      return;
+    }
     this.readingBodies += 1;
-    const body = await readBody(req, maxBytes);
+    const body = await readBody(req, maxBytes, memory);
     this.readingBodies -= 1;
     switch (body.kind) {
       case 'read':
+        memory.holdUntilClosed(res, body.bytes.length);
         this.startRequest(req, res, body.bytes, startedMs);
         return;
       case 'too_large':
         this.reject(req, res, 413, 'body_too_large');
         return;
+      case 'evicted':
+        this.refuseForMemory(req, res, body.bufferedBytes);
+        return;
       case 'caller_gone':
         return;
       default:
@@ -184,6 +199,13 @@
     }
   }
 
+  private refuseForMemory(req: IncomingMessage, res: ServerResponse, bytes: number): void {
+    const {requestId} = parseCallerHeaders(req.headers);
+    this.ctx().memory.recordEviction('body', {requestId, bytes, announced: announcedBytes(req)});
+    const retryAfterMs = MEMORY_RETRY_AFTER_MS + Math.random() * RETRY_AFTER_JITTER_MS;
+    this.refuse(req, res, 'memory_full', retryAfterMs);
+  }
+
   /** Refuses a request as not run; the caller may retry it. */
   private refuse(
     req: IncomingMessage,
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -1,8 +1,9 @@
 /** Parts of the gateway that the handling of a caller's request depends on. */
 import type {IncomingMessage} from 'node:http';
-import type {BufferBudget, Clock, Logger, UnreadHeaderCounter} from '@jasminepost/core';
+import type {Clock, Logger, UnreadHeaderCounter} from '@jasminepost/core';
 import type {PriorWaitEstimator, StreamVersions, WindowedRetryBudget} from '@jasminepost/policy';
 import type {EngineSpec} from '@jasminepost/serving';
+import type {CallerMemory} from './caller_memory.ts';
 import type {CallerRequest} from './caller_request.ts';
 import type {CrashDetector} from './crash_detector.ts';
 import type {DefaultVersions} from './default_versions.ts';
@@ -29,8 +30,7 @@
   readonly services: ServiceQueue;
   readonly limits: ReplicaRateLimits;
   readonly crashes: CrashDetector;
-  /** Memory for the incomplete events of all streams. */
-  readonly eventMemory: BufferBudget;
+  readonly memory: CallerMemory;
   readonly streamVersions: StreamVersions;
   readonly defaultVersions: DefaultVersions;
   readonly streamRecord: StreamRecord;
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -3,6 +3,7 @@
 import type {LinkCloseReason} from '@jasminepost/mesh';
 import type {StoreCall} from '@jasminepost/platform';
 import type {StreamVersionDecision} from '@jasminepost/policy';
+import type {MemoryEviction} from './caller_memory.ts';
 import type {PermitEvent} from './replica_rate_limits.ts';
 
 /** How the version of a resumed stream is known. @internal */
@@ -35,6 +36,7 @@
   readonly permits: CounterFamily<PermitEvent>;
   readonly streamResumes: CounterFamily<StreamResumeSource>;
   readonly linkFaults: CounterFamily<LinkCloseReason>;
+  readonly memoryEvictions: CounterFamily<MemoryEviction>;
   readonly firstEvent: Histogram;
   readonly waited: Histogram;
 }
@@ -46,6 +48,7 @@
   storeRevision(): number;
   storeContactAgeMs(): number;
   queuedBytes(): number;
+  callerBytes(): number;
 }
 
 /** @internal */
@@ -64,6 +67,9 @@
   registry.gauge('planner_queued_bytes', 'Bytes that the planner has yet to send to gateways', () =>
     gauges.queuedBytes(),
   );
+  registry.gauge('caller_bytes', 'Bytes held for callers, of the memory for them', () =>
+    gauges.callerBytes(),
+  );
   return {
     registry,
     endings: registry.counter('endings', 'Requests by how they ended', 'ending'),
@@ -83,6 +89,11 @@
       'Streams resumed by their callers, by how their version is known',
       'source',
     ),
+    memoryEvictions: registry.counter(
+      'memory_evictions',
+      'Bodies and connections ended to free memory',
+      'kind',
+    ),
     linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
     firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
     waited: registry.histogram('waited_ms', 'Time in the line before the request was sent'),
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -1,7 +1,6 @@
 /** Composition root of the gateway: creates its components and connects them. */
 import {
   AdminServer,
-  BufferBudget,
   createLogger,
   errorMessage,
   installStopSignals,
@@ -18,6 +17,7 @@
 import {readProcessSettings, StoreClient} from '@jasminepost/platform';
 import {RouteTable} from '@jasminepost/serving';
 import {ActiveConfig} from './lib/active_config.ts';
+import {CallerMemory} from './lib/caller_memory.ts';
 import {CallerServer} from './lib/caller_server.ts';
 import {CrashDetector} from './lib/crash_detector.ts';
 import {CrashNewsSync} from './lib/crash_news_sync.ts';
@@ -44,8 +44,6 @@
 
 /** Number of gateways assumed until the planner's gateway or the stewards have counted them. */
 const INITIAL_GATEWAY_COUNT = 4;
-/** Share of the process's memory that incomplete events may take. */
-const EVENT_MEMORY_SHARE = 0.1;
 
 /** Starts the gateway; resolves once it accepts connections. */
 export async function startGateway(settings: GatewaySettings): Promise<void> {
@@ -61,7 +59,10 @@
     storeRevision: () => fleetWatcher.knownRevision,
     storeContactAgeMs: () => fleetWatcher.contactAgeMs,
     queuedBytes: () => planner.queuedBytes,
+    callerBytes: () => memory.budget.usedBytes,
   });
+  const {memoryBytes} = instance;
+  const memory = new CallerMemory({memoryBytes, log, evictions: metrics.memoryEvictions});
   installUncaughtErrorHandlers(log, metrics.registry);
   const store = new StoreClient(instance.store, metrics.storeCalls, (era, before) => {
     log.warn('store restored from an older copy', {era, before, plans: planner.isRelay});
@@ -209,7 +210,7 @@
     services,
     limits,
     crashes,
-    eventMemory: new BufferBudget(instance.memoryBytes * EVENT_MEMORY_SHARE),
+    memory,
     streamVersions: new StreamVersions(),
     defaultVersions,
     streamRecord,
--- a/features/hostile_callers.feature
+++ b/features/hostile_callers.feature
@@ -21,3 +21,9 @@
       | 20      | chunk extensions without end          | 5000  | 150   |
       | 40      | bodies that are reset before the end  | 5000  | 150   |
       | 600     | request heads that never end          | 5000  | 750   |
+
+  # Idle large bodies kept others out for the whole time that a request may take.
+  Scenario: memory for bodies goes to small and moving ones before large and stalled ones
+    Then a budget that is full of large bodies admits a smaller one and refuses one as large
+    And a budget that is full of stalled bodies admits one as large, and evicts a stalled one
+    And held memory is never evicted
--- a/features/steps/hostile_caller_steps.ts
+++ b/features/steps/hostile_caller_steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {readdirSync, readFileSync} from 'node:fs';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {sleep} from '@jasminepost/core';
+import {BufferBudget, sleep, type BudgetedBuffer} from '@jasminepost/core';
 import {until} from '../support/fleet_process.ts';
 import {BODY_BYTES, HostileCrowd, MIB} from '../support/hostile_crowd.ts';
 import {UsersFleet} from '../support/users_fleet.ts';
@@ -70,3 +70,49 @@
     });
   },
 );
+
+function budgetOf(maxBytes: number, buffers: number, bytes: number, isStalled: boolean) {
+  const budget = new BufferBudget(maxBytes);
+  const evicted: BudgetedBuffer[] = [];
+  const add = (bufferedBytes: number, stalled: boolean) => {
+    const buffer = {bufferedBytes, isStalled: stalled, evict: () => void evicted.push(buffer)};
+    budget.update(buffer);
+    return buffer;
+  };
+  for (let i = 0; i < buffers; i++) add(bytes, isStalled);
+  return {budget, evicted, add};
+}
+
+Then(
+  'a budget that is full of large bodies admits a smaller one and refuses one as large',
+  function () {
+    const {budget, evicted, add} = budgetOf(40, 10, 4, false);
+    assert.equal(budget.admits(4), false);
+    assert.equal(budget.admits(3), true);
+    add(3, false);
+    assert.deepEqual(
+      evicted.map(each => each.bufferedBytes),
+      [4],
+    );
+  },
+);
+
+Then(
+  'a budget that is full of stalled bodies admits one as large, and evicts a stalled one',
+  function () {
+    const {budget, evicted, add} = budgetOf(40, 10, 4, true);
+    assert.equal(budget.admits(4), true);
+    const moving = add(4, false);
+    assert.equal(evicted.length, 1);
+    assert.ok(!evicted.includes(moving));
+  },
+);
+
+Then('held memory is never evicted', function () {
+  const {budget, evicted, add} = budgetOf(40, 0, 0, false);
+  budget.hold(40);
+  assert.equal(budget.admits(1), false);
+  add(1, false);
+  assert.equal(evicted.length, 1);
+  assert.equal(budget.usedBytes, 40);
+});
--- a/features/support/report_flood.ts
+++ b/features/support/report_flood.ts
@@ -134,6 +134,7 @@
     storeRevision: () => 0,
     storeContactAgeMs: () => 0,
     queuedBytes: () => 0,
+    callerBytes: () => 0,
   });
   const crashes: CrashDetector = new CrashDetector({
     clock,
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -13,6 +13,6 @@
   type ErrorResponse,
   type RejectionCode,
 } from './lib/error_response.ts';
-export {readBody, type BodyReadResult} from './lib/body_reader.ts';
+export {announcedBytes, readBody, type BodyMemory, type BodyReadResult} from './lib/body_reader.ts';
 export {onCallerDisconnect} from './lib/response_writer.ts';
 export {RequestSequence, type RequestSequenceEvents} from './lib/request_sequence.ts';
--- a/packages/caller/src/lib/caller_http_server.ts
+++ b/packages/caller/src/lib/caller_http_server.ts
@@ -80,6 +80,7 @@
       onFollowed: current => {
         if (!current.headersSent) current.removeHeader('connection');
       },
+      onTooManyAhead: () => undefined,
     });
     this.server = createServer({maxHeaderSize: MAX_HEADER_BYTES}, (req, res) => {
       this.sequence.accept(req, res);
--- a/packages/caller/src/lib/request_sequence.ts
+++ b/packages/caller/src/lib/request_sequence.ts
@@ -2,6 +2,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+/** Requests ahead on a connection from which on no more are read. */
+const PAUSE_REQUESTS = 16;
+/**
+ * Requests ahead for which a connection is closed: those in one read of 64 KiB are parsed in any
+ * case, up to 2,500 requests of about 4 KB of heap each. Ordinary callers send a few ahead.
+ */
+const MAX_REQUESTS = 128;
+
 interface PendingRequest {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
@@ -19,6 +27,8 @@
   onRequest(req: IncomingMessage, res: ServerResponse, arrivedMs: number): void;
   /** Called when another request follows on the connection of a response. */
   onFollowed(current: ServerResponse): void;
+  /** Called when a connection is closed because of too many requests ahead. */
+  onTooManyAhead(requests: number): void;
 }
 
 /**
@@ -26,7 +36,7 @@
  * then have run without an answer, so it is not handled before the response has ended.
  *
  * @example
- * const sequence = new RequestSequence({onRequest: handle, onFollowed: () => undefined});
+ * const sequence = new RequestSequence({onRequest, onFollowed, onTooManyAhead});
  * const server = createServer((req, res) => sequence.accept(req, res));
  * @public
  */
@@ -39,21 +49,29 @@
 
   accept(req: IncomingMessage, res: ServerResponse): void {
     const {socket} = req;
+    // The parser still delivers the requests that were read together with the last one.
+    if (socket.destroyed) return;
     const arrivedMs = performance.now();
     const connection = this.connections.get(socket);
     if (connection !== undefined) {
       connection.pending.push({req, res, arrivedMs});
       this.waiting += 1;
       this.events.onFollowed(connection.current);
+      this.limitAhead(socket, connection.pending.length);
       return;
     }
     this.connections.set(socket, {current: res, pending: []});
     this.handle({req, res, arrivedMs});
   }
 
+  /** Number of requests that wait on a connection. */
+  waitingOn(socket: Socket): number {
+    return this.connections.get(socket)?.pending.length ?? 0;
+  }
+
   /** True when another request waits on the connection of the request. */
   isFollowed({socket}: IncomingMessage): boolean {
-    return (this.connections.get(socket)?.pending.length ?? 0) > 0;
+    return this.waitingOn(socket) > 0;
   }
 
   private handle({req, res, arrivedMs}: PendingRequest): void {
@@ -75,7 +93,15 @@
       return;
     }
     this.waiting -= 1;
+    if (connection.pending.length === PAUSE_REQUESTS - 1) socket.resume();
     connection.current = next.res;
     this.handle(next);
   }
+
+  private limitAhead(socket: Socket, requests: number): void {
+    if (requests >= PAUSE_REQUESTS) socket.pause();
+    if (requests <= MAX_REQUESTS) return;
+    this.events.onTooManyAhead(requests);
+    socket.destroy();
+  }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export {BoundedLogStream, openStandardOutput} from './lib/bounded_log_stream.ts';
 export {assert, assertNever} from './lib/assert.ts';
+export {BlockBuffer} from './lib/block_buffer.ts';
 export {BufferBudget, type BudgetedBuffer} from './lib/buffer_budget.ts';
 export {SystemClock, type Clock} from './lib/clock.ts';
 export {parseDaemonSettings, DAEMON_SETTINGS, type DaemonSettings} from './lib/daemon_settings.ts';
@@ -15,6 +16,7 @@
   type DeclarationIssue,
 } from './lib/errors.ts';
 export {discardBody, MAX_DISCARD_BYTES, MAX_DISCARD_MS} from './lib/discard_body.ts';
+export {GarbagePacer} from './lib/garbage_pacer.ts';
 export {GrowingBuffer} from './lib/growing_buffer.ts';
 export {newId} from './lib/ids.ts';
 export {installUncaughtErrorHandlers} from './lib/uncaught_errors.ts';
