--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -89,7 +89,7 @@
     this.priority = route.priority;
     this.isDelayTolerant = isDelayTolerant(route);
     const onEvicted = () => setImmediate(() => this.checkEvents());
-    this.relay = new ResponseRelay(res, method, route.resumable, ctx.eventMemory, onEvicted);
+    this.relay = new ResponseRelay(res, method, route.resumable, ctx.memory.events, onEvicted);
     const times = scheduleRequest(ctx, head, route, startedMs);
     this.deadlineMs = times.deadlineMs;
     this.sendByMs = times.sendByMs;
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -4,6 +4,7 @@
 import type {StoreCall} from '@jasminepost/platform';
 import type {StallReason, StreamVersionDecision} from '@jasminepost/policy';
 import type {CreditEvent} from './organisation_quotas.ts';
+import type {MemoryEviction} from './caller_memory.ts';
 import type {PermitEvent} from './replica_rate_limits.ts';
 
 /** How the version of a resumed stream is known. @internal */
@@ -39,6 +40,7 @@
   readonly streamResumes: CounterFamily<StreamResumeSource>;
   readonly movedStreams: CounterFamily<StallReason>;
   readonly linkFaults: CounterFamily<LinkCloseReason>;
+  readonly memoryEvictions: CounterFamily<MemoryEviction>;
   readonly firstEvent: Histogram;
   readonly waited: Histogram;
 }
@@ -50,6 +52,7 @@
   storeRevision(): number;
   storeContactAgeMs(): number;
   queuedBytes(): number;
+  callerBytes(): number;
 }
 
 /** @internal */
@@ -68,6 +71,9 @@
   registry.gauge('planner_queued_bytes', 'Bytes that the planner has yet to send to gateways', () =>
     gauges.queuedBytes(),
   );
+  registry.gauge('caller_bytes', 'Bytes held for callers, of the memory for them', () =>
+    gauges.callerBytes(),
+  );
   return {
     registry,
     endings: registry.counter('endings', 'Requests by how they ended', 'ending'),
@@ -94,6 +100,11 @@
       'Streams moved to another replica because they got no events, by reason',
       'reason',
     ),
+    memoryEvictions: registry.counter(
+      'memory_evictions',
+      'Bodies and connections ended to free memory',
+      'kind',
+    ),
     linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
     firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
     waited: registry.histogram('waited_ms', 'Time in the line before the request was sent'),
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -79,6 +79,11 @@
   readonly replicaProxies = new Map<UsersReplica, LoopbackProxy>();
   /** Bandwidth of each gateway's link to the store; set it before the start. */
   storeBytesPerMs = Number.POSITIVE_INFINITY;
+  /** Memory of each process, and options of Node.js for it; set them before the start. */
+  memoryMb = 350;
+  nodeArgs: readonly string[] = [];
+  /** Largest body that the configuration allows. */
+  bodyBytes = 65_536;
   private readonly storeProxies: LoopbackProxy[] = [];
   private readonly hosts = new Map<UsersReplica, string>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'jasminepost-users-'));
@@ -227,7 +232,7 @@
       ],
       limits: {
         headerBytes: 16_384,
-        bodyBytes: 65_536,
+        bodyBytes: this.bodyBytes,
         headerTimeoutMs: 3000,
         idleTimeoutMs: 15_000,
       },
@@ -312,13 +317,14 @@
     const path = gateway.process.args[1];
     const settings = JSON.parse(readFileSync(path, 'utf8')) as object;
     writeFileSync(path, JSON.stringify({...settings, bootstrap: false}));
-    gateway.process = new FleetProcess(gateway.process.program, gateway.process.args);
+    const {program, args, nodeArgs} = gateway.process;
+    gateway.process = new FleetProcess(program, args, false, nodeArgs);
   }
 
   /** Restarts a steward that has exited, at the same address. */
   restartSteward(index: number): void {
-    const {program, args} = this.stewards[index];
-    this.stewards[index] = new FleetProcess(program, args);
+    const {program, args, nodeArgs} = this.stewards[index];
+    this.stewards[index] = new FleetProcess(program, args, false, nodeArgs);
   }
 
   private async addReplicaProxies(): Promise<void> {
@@ -349,11 +355,13 @@
         usersSettings(id, ip, {
           internalPorts: [this.meshPort, this.meshPort + 10],
           platform: {address: this.storeAddress, ttlMinMs: 1000},
+          limits: {memoryMb: this.memoryMb},
           ...extra,
         }),
       ),
     );
-    return new FleetProcess(program, ['--config', path, '--mesh-key', MESH_KEY]);
+    const args = ['--config', path, '--mesh-key', MESH_KEY];
+    return new FleetProcess(program, args, false, this.nodeArgs);
   }
 
   async addReplica(service: string, isEngine: boolean): Promise<UsersReplica> {
