Decide which share of the requests leaves the zone

Cause: the cost of crossing between zones is fixed (100 ms for models), so a zone with too few replicas sends away more than its callers gain from, and bytes between zones are charged. Change: ZoneOverflow follows the advantage of the other zones by its sum over time and by its present value, weighted by the age of the load. chooseEngine and chooseReplica return the expected cost, and chooseEngine takes the cost of crossing.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -111,3 +111,12 @@
   type StreamVersionDecision,
   STREAM_LIFE_MS,
 } from './lib/stream_versions.ts';
+export {
+  crossingPriceMs,
+  ZoneOverflow,
+  type Crossing,
+  type ZoneDecision,
+  type ZoneInputs,
+  type ZoneLeaveReason,
+  type ZoneOffer,
+} from './lib/zone_overflow.ts';
--- a/packages/policy/src/lib/engine_choice.ts
+++ b/packages/policy/src/lib/engine_choice.ts
@@ -34,11 +34,18 @@
   readonly tokens: number;
   /** Longest backlog at which a replica still gets requests. */
   readonly maxBacklogMs: number;
+  /** Cost of traffic to another availability zone as a time; a fixed cost when absent. */
+  readonly crossZoneMs?: number;
 }
 
-/** @public */
+/** `costMs` is the lowest expected time to the first event, less preferences. @public */
 export type EngineChoice =
-  | {readonly kind: 'chosen'; readonly index: number; readonly backlogMs: number}
+  | {
+      readonly kind: 'chosen';
+      readonly index: number;
+      readonly backlogMs: number;
+      readonly costMs: number;
+    }
   /** Every candidate has as much work as it can start in time. */
   | {readonly kind: 'full'}
   | {readonly kind: 'none'};
@@ -72,6 +79,7 @@
   if (candidates.length === 0) return {kind: 'none'};
   const prefixAffinityIndex = affinityIndex(candidates, request.prefixHash);
   const adapterAffinityIndex = affinityIndex(candidates, request.adapterHash);
+  const {crossZoneMs = CROSS_ZONE_COST_MS} = request;
   let best = -1;
   let bestCost = Number.POSITIVE_INFINITY;
   let bestBacklogMs = 0;
@@ -83,7 +91,7 @@
     let cost = backlogMs + candidate.active * CONCURRENCY_COST_MS * pace;
     // Without a reported pace, the request's own prefill counts as the same on every replica.
     if (candidate.pace !== undefined) cost += request.prefillMs * pace;
-    if (candidate.zone !== request.zone) cost += CROSS_ZONE_COST_MS;
+    if (candidate.zone !== request.zone) cost += crossZoneMs;
     if (request.adapterHash !== 0 && !candidate.hasAdapter) cost += ADAPTER_LOAD_MS;
     if (index === prefixAffinityIndex) cost -= request.prefixSavingMs;
     if (index === adapterAffinityIndex) cost -= ADAPTER_AFFINITY_MS;
@@ -93,7 +101,8 @@
       bestBacklogMs = backlogMs;
     }
   }
-  return best < 0 ? {kind: 'full'} : {kind: 'chosen', index: best, backlogMs: bestBacklogMs};
+  if (best < 0) return {kind: 'full'};
+  return {kind: 'chosen', index: best, backlogMs: bestBacklogMs, costMs: bestCost};
 }
 
 function hasCapacity(replica: EngineCandidate, request: EngineRequest, backlogMs: number): boolean {
--- a/packages/policy/src/lib/routing.ts
+++ b/packages/policy/src/lib/routing.ts
@@ -48,7 +48,13 @@
 
 /** @public */
 export type RouteChoice =
-  | {readonly kind: 'chosen'; readonly index: number; readonly affinity: boolean}
+  | {
+      readonly kind: 'chosen';
+      readonly index: number;
+      readonly affinity: boolean;
+      /** Expected time until the first token, less preferences. */
+      readonly costMs: number;
+    }
   | {readonly kind: 'none'};
 
 /**
@@ -85,7 +91,7 @@
   for (const pool of [local, local, usable, usable]) {
     if (pool.length > 0) evaluate(pool[Math.floor(random() * pool.length)]);
   }
-  return {kind: 'chosen', index: best, affinity: best === preferred};
+  return {kind: 'chosen', index: best, affinity: best === preferred, costMs: bestScore};
 }
 
 /** True when a request would have to wait for a slot on the replica. @public */
