Send only a share of the excess to other zones where replicas report their pace

Cause: a gateway left its zone at a fixed cost, whatever the load there, and nothing told how many requests and bytes crossed. Change: engine_selector.ts and service_choice.ts ask ZoneOverflows, which keeps the share of each service and model. A request draws once and keeps its draw while it waits. Counters zone_requests and zone_bytes by kind; the line 'request sent' has zone, leftZone, leaveReason, zoneShare and loadAgeMs. The stand-in replica can report a pace. A request without a usable replica in its zone no longer sets the share to 1: one retry after a failure at the zone's only replica would have sent away all others.

--- a/apps/gateway/src/lib/attempt.ts
+++ b/apps/gateway/src/lib/attempt.ts
@@ -7,13 +7,19 @@
   firstEventMs = 0;
   /** This gateway's requests to the replica that had no first event yet when this one was sent. */
   readonly awaitingBefore: number;
+  /** Bytes of the response's body that have arrived. */
+  responseBytes = 0;
   private ended = false;
 
-  /** @param tokens - KV cache tokens that the request occupies or will occupy. */
+  /**
+   * @param tokens - KV cache tokens that the request occupies or will occupy.
+   * @param onEnded - Called once, when it ends.
+   */
   constructor(
     readonly replica: Replica,
     readonly sentMs: number,
     private readonly tokens: number,
+    private readonly onEnded: (attempt: Attempt) => void,
   ) {
     this.awaitingBefore = replica.awaitingFirstEvent;
     replica.inFlight += 1;
@@ -43,5 +49,6 @@
     this.replica.inFlight -= 1;
     if (this.firstEventMs === 0) this.replica.awaitingFirstEvent -= 1;
     this.replica.kvTokens -= this.tokens;
+    this.onEnded(this);
   }
 }
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -12,14 +12,13 @@
 import {
   selectBackend,
   EMPTY_GENERATION,
-  maxTokens,
   sharedPartIds,
   type GenerationParams,
   type Route,
 } from '@jasminepost/serving';
 import {judgeResponse} from './response_fault.ts';
 import {ResponseRelay, sendLocalResponse} from './response_relay.ts';
-import {Attempt} from './attempt.ts';
+import type {Attempt} from './attempt.ts';
 import {isFromOtherReplica, recordFirstEvent, recordResponseHead} from './response_head.ts';
 import {RequestLog} from './request_log.ts';
 import {notSent, outgoingRequest} from './outgoing_request.ts';
@@ -124,7 +123,8 @@
   send(replica: Replica, logFields: Readonly<Record<string, unknown>>): void {
     const {clock, metrics} = this.ctx;
     const nowMs = clock.monotonicMs();
-    const attempt = new Attempt(replica, nowMs, maxTokens(this.head.generation));
+    const {body} = this.content;
+    const attempt = this.ctx.zoneTraffic.startAttempt(replica, nowMs, body, this.head.generation);
     this.attempt = attempt;
     this.sendCount += 1;
     replica.recordEvent({kind: 'sent'}, nowMs);
@@ -245,6 +245,7 @@
       this.heldEvents.push(chunk);
       return false;
     }
+    this.attempt!.responseBytes += chunk.length;
     if (this.attempt!.firstEventMs === 0) {
       if (this.relay.isStream) this.versionGate.onFirstEvent(this.attempt!.replica);
       recordFirstEvent(this.ctx, this.attempt!, this.arrivedMs, this.head.generation);
--- a/apps/gateway/src/lib/engine_selector.ts
+++ b/apps/gateway/src/lib/engine_selector.ts
@@ -1,17 +1,14 @@
 /** Selects the model replica for a generation, or returns the reason why it has to wait. */
 import {fnv1a32, type Clock} from '@jasminepost/core';
-import {
-  chooseEngine,
-  wouldBeLateBehind,
-  type EngineCandidate,
-  type EngineRequest,
-} from '@jasminepost/policy';
+import {wouldBeLateBehind, type EngineCandidate, type EngineRequest} from '@jasminepost/policy';
 import type {EngineSpec, GenerationParams} from '@jasminepost/serving';
+import {chooseEngineByZone} from './engine_zone_choice.ts';
 import type {QueuedGeneration} from './generation_queue.ts';
 import type {PrefillEstimator} from './prefill_estimator.ts';
 import type {Replica} from './replica.ts';
 import type {ReplicaRateLimits} from './replica_rate_limits.ts';
 import type {ReplicaTable} from './replica_table.ts';
+import type {ZoneLogFields, ZoneOverflows} from './zone_overflows.ts';
 
 /** Backlog of requests that have not started, up to which a replica gets further requests. */
 const MAX_BACKLOG_MS = 220;
@@ -22,6 +19,7 @@
 export interface EngineSelectorContext {
   readonly clock: Clock;
   readonly zone: string;
+  readonly zoneOverflows: ZoneOverflows;
   readonly table: ReplicaTable;
   readonly limits: ReplicaRateLimits;
   readonly estimator: PrefillEstimator;
@@ -43,7 +41,12 @@
 
 /** @internal */
 export type EngineSelection =
-  | {readonly kind: 'found'; readonly replica: Replica; readonly candidate: EngineCandidate}
+  | {
+      readonly kind: 'found';
+      readonly replica: Replica;
+      readonly candidate: EngineCandidate;
+      readonly zoneFields: ZoneLogFields;
+    }
   | {readonly kind: WaitReason};
 
 /** @internal */
@@ -126,20 +129,28 @@
     const {service, generation} = request;
     const nowMs = ctx.clock.monotonicMs();
     const slots = ctx.engineOf(service)?.slots ?? 0;
-    const candidates = capable.map(replica =>
-      replica.asEngineCandidate(generation.adapter, generation.model, slots, nowMs),
+    const candidates = capable.map(replica => ({
+      candidate: replica.asEngineCandidate(generation.adapter, generation.model, slots, nowMs),
+      ageMs: replica.loadAgeMs(nowMs),
+    }));
+    const engineRequest = this.engineRequestOf(generation);
+    const {choice, zoneFields} = chooseEngineByZone(
+      ctx.zoneOverflows,
+      request,
+      candidates,
+      engineRequest,
+      nowMs,
     );
-    const choice = chooseEngine(candidates, this.engineRequestOf(generation));
     if (choice.kind !== 'chosen') return {kind: 'full'};
     if (waiting > 1 && wouldBeLateBehind(request, choice.backlogMs, nowMs))
       return {kind: 'late_here'};
-    const candidate = candidates[choice.index];
+    const {candidate} = candidates[choice.index];
     const replica = capable[choice.index];
     if (generation.adapter !== '') {
       ctx.requestAdapter(replica, generation.model, generation.adapter);
       if (!candidate.hasAdapter) return {kind: 'adapter'};
     }
-    return {kind: 'found', replica, candidate};
+    return {kind: 'found', replica, candidate, zoneFields};
   }
 
   private replicasFor(request: QueuedGeneration): Replica[] {
--- a/apps/gateway/src/lib/gateway_context.ts
+++ b/apps/gateway/src/lib/gateway_context.ts
@@ -13,6 +13,8 @@
 import type {ReplicaTable} from './replica_table.ts';
 import type {ServiceQueue} from './service_queue.ts';
 import type {StreamRecord} from './stream_record.ts';
+import type {ZoneOverflows} from './zone_overflows.ts';
+import type {ZoneTraffic} from './zone_traffic.ts';
 
 /** @internal */
 export interface GatewayContext {
@@ -23,6 +25,8 @@
   readonly zone: string;
   /** Round-trip time to another availability zone, in milliseconds. */
   readonly crossZoneMs: number;
+  readonly zoneOverflows: ZoneOverflows;
+  readonly zoneTraffic: ZoneTraffic;
   readonly table: ReplicaTable;
   readonly estimator: PrefillEstimator;
   readonly generations: GenerationQueue;
--- a/apps/gateway/src/lib/gateway_metrics.ts
+++ b/apps/gateway/src/lib/gateway_metrics.ts
@@ -22,6 +22,9 @@
  */
 export type CrashEvidence = 'cut' | 'confirmed' | 'alive' | 'listed';
 
+/** What serves a request: a model, or a plain service. @internal */
+export type ServiceKind = 'model' | 'service';
+
 /** @internal */
 export interface GatewayMetrics {
   readonly registry: MetricRegistry;
@@ -35,6 +38,9 @@
   readonly permits: CounterFamily<PermitEvent>;
   readonly streamResumes: CounterFamily<StreamResumeSource>;
   readonly linkFaults: CounterFamily<LinkCloseReason>;
+  /** Requests sent to another zone, and the bytes of their bodies and of the responses'. */
+  readonly zoneRequests: CounterFamily<ServiceKind>;
+  readonly zoneBytes: CounterFamily<ServiceKind>;
   readonly firstEvent: Histogram;
   readonly waited: Histogram;
 }
@@ -84,6 +90,12 @@
       'source',
     ),
     linkFaults: registry.counter('link_faults', 'Mesh links that ended', 'fault'),
+    zoneRequests: registry.counter('zone_requests', 'Requests sent to another zone', 'kind'),
+    zoneBytes: registry.counter(
+      'zone_bytes',
+      'Bytes of bodies exchanged with other zones, for requests and responses',
+      'kind',
+    ),
     firstEvent: registry.histogram('first_event_ms', 'Arrival to first byte of the answer'),
     waited: registry.histogram('waited_ms', 'Time in the line before the request was sent'),
   };
--- a/apps/gateway/src/lib/generation_queue.ts
+++ b/apps/gateway/src/lib/generation_queue.ts
@@ -5,11 +5,10 @@
   DrainRateEstimator,
   shouldQueue,
   queuedRequestState,
-  type EngineCandidate,
 } from '@jasminepost/policy';
 import type {EngineSpec, GenerationParams} from '@jasminepost/serving';
 import type {DemandMeter} from './demand_meter.ts';
-import type {EngineSelector, WaitReason} from './engine_selector.ts';
+import type {EngineSelection, EngineSelector, WaitReason} from './engine_selector.ts';
 import type {PrefillEstimator} from './prefill_estimator.ts';
 import type {Replica} from './replica.ts';
 import type {QueuedServiceRequest} from './service_queue.ts';
@@ -27,6 +26,8 @@
 /** Minimum retry delay under overload: loading another copy of the model from disk takes 2 s. */
 const OVERLOAD_RETRY_AFTER_MS = 1500;
 
+type FoundReplica = Extract<EngineSelection, {kind: 'found'}>;
+
 /** A generation as the queue sees it. @internal */
 export interface QueuedGeneration extends QueuedServiceRequest {
   readonly generation: GenerationParams;
@@ -254,13 +255,12 @@
   private tryDispatch(request: QueuedGeneration): WaitReason | 'sent' {
     const selection = this.ctx.selector.select(request, this.waitingFor(modelKeyOf(request)));
     if (selection.kind !== 'found') return selection.kind;
-    const {replica, candidate} = selection;
-    if (!this.ctx.tryUsePermit(replica)) return 'limited';
-    this.sendTo(request, replica, candidate);
+    if (!this.ctx.tryUsePermit(selection.replica)) return 'limited';
+    this.sendTo(request, selection);
     return 'sent';
   }
 
-  private sendTo(request: QueuedGeneration, replica: Replica, candidate: EngineCandidate): void {
+  private sendTo(request: QueuedGeneration, {replica, candidate, zoneFields}: FoundReplica): void {
     const {length, drainRate} = this.levelOf(request);
     const isWaiting = this.queued.has(request);
     drainRate.onSent(this.ctx.clock.monotonicMs(), isWaiting ? length - 1 : length);
@@ -271,6 +271,7 @@
       kvUsed: candidate.kvUsed,
       prefillMs: Math.round(candidate.prefillMs),
       pace: candidate.pace,
+      ...zoneFields,
     });
   }
 
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -282,6 +282,11 @@
     };
   }
 
+  /** Age of the newest load that it or its steward has reported. */
+  loadAgeMs(nowMs: number): number {
+    return nowMs - Math.max(this.loadReceivedMs, this.responseLoadMs);
+  }
+
   asRouteCandidate(nowMs: number): RouteCandidate {
     const {pace} = this.learned;
     const paceRatio =
--- a/apps/gateway/src/lib/request_log.ts
+++ b/apps/gateway/src/lib/request_log.ts
@@ -20,7 +20,10 @@
 /** @internal */
 export class RequestLog {
   constructor(
-    private readonly ctx: Pick<GatewayContext, 'clock' | 'log' | 'configVersion' | 'listAgeMs'>,
+    private readonly ctx: Pick<
+      GatewayContext,
+      'clock' | 'log' | 'zone' | 'configVersion' | 'listAgeMs'
+    >,
     private readonly head: CallerHeaders,
     private readonly route: Route,
     private readonly arrivedMs: number,
@@ -33,6 +36,8 @@
       requestId: this.head.requestId,
       route: this.route.name,
       replica: replica.id,
+      zone: replica.entry.zone,
+      leftZone: replica.entry.zone !== this.ctx.zone,
       version: replica.entry.softwareVersion,
       bornMs: replica.entry.bornMs,
       listAgeMs: Math.round(this.ctx.listAgeMs()),
--- a/apps/gateway/src/lib/service_choice.ts
+++ b/apps/gateway/src/lib/service_choice.ts
@@ -1,13 +1,10 @@
 /** Chooses a replica of a plain service. */
-import {
-  chooseReplica,
-  isSaturated,
-  type RouteCandidate,
-  type RouteRequest,
-} from '@jasminepost/policy';
+import {isSaturated, type RouteCandidate, type RouteRequest} from '@jasminepost/policy';
 import type {GatewayContext} from './gateway_context.ts';
 import type {Replica} from './replica.ts';
 import type {QueuedServiceRequest} from './service_queue.ts';
+import {chooseReplicaByZone} from './service_zone_choice.ts';
+import type {ZoneLogFields} from './zone_overflows.ts';
 
 /** Parts of a request that the choice depends on. */
 /** Replicas that were tried are left out before the choice. */
@@ -17,7 +14,12 @@
 
 /** Result of the choice; `listed` is the number of usable replicas. @internal */
 export type ServiceChoice = {readonly listed: number} & (
-  | {readonly kind: 'chosen'; readonly replica: Replica; readonly candidate: RouteCandidate}
+  | {
+      readonly kind: 'chosen';
+      readonly replica: Replica;
+      readonly candidate: RouteCandidate;
+      readonly zoneFields: ZoneLogFields;
+    }
   /** All replicas are paused or otherwise accept no requests now. */
   | {readonly kind: 'paused'; readonly waitMs: number}
   /** All remaining replicas are rate-limited, and their limits are used up. */
@@ -35,9 +37,10 @@
  */
 export function chooseServiceReplica(
   ctx: GatewayContext,
-  {service, excluded, requiredVersion}: ServiceRequest,
+  request: ServiceRequest,
   ahead: number,
 ): ServiceChoice {
+  const {service, excluded, requiredVersion} = request;
   const nowMs = ctx.clock.monotonicMs();
   const all = ctx.table
     .usableOf(service)
@@ -69,8 +72,9 @@
     return {kind: 'limited', replicas: limited, listed};
   }
   const candidates = replicas.map(replica => replica.asRouteCandidate(nowMs));
-  const choice = chooseReplica(candidates, req, Math.random);
+  const {choice, zoneFields} = chooseReplicaByZone(ctx.zoneOverflows, request, candidates, req);
   if (choice.kind === 'none') return {kind: 'none', listed};
   const {index} = choice;
-  return {kind: 'chosen', replica: replicas[index], candidate: candidates[index], listed};
+  const candidate = candidates[index];
+  return {kind: 'chosen', replica: replicas[index], candidate, zoneFields, listed};
 }
--- a/apps/gateway/src/lib/service_queue.ts
+++ b/apps/gateway/src/lib/service_queue.ts
@@ -112,7 +112,12 @@
           this.queueOrRefuse(request, [choice.replica], listed, ahead);
           return;
         }
-        request.send(choice.replica, {reported, ownInFlight, serviceMs: Math.round(serviceMs)});
+        request.send(choice.replica, {
+          reported,
+          ownInFlight,
+          serviceMs: Math.round(serviceMs),
+          ...choice.zoneFields,
+        });
         return;
       }
       case 'paused':
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -40,6 +40,8 @@
 import {StewardLinks} from './lib/steward_links.ts';
 import {StreamRecord} from './lib/stream_record.ts';
 import {TrialLease} from './lib/trial_lease.ts';
+import {ZoneOverflows} from './lib/zone_overflows.ts';
+import {ZoneTraffic} from './lib/zone_traffic.ts';
 import type {GatewaySettings} from './settings.ts';
 
 /** Number of gateways assumed until the planner's gateway or the stewards have counted them. */
@@ -161,9 +163,19 @@
       services.scheduleDispatch();
     },
   });
+  const zoneTraffic = new ZoneTraffic({zone: instance.zone, metrics, engineOf});
+  const zoneOverflows = new ZoneOverflows({
+    zone: instance.zone,
+    roundTripMs: settings.crossZoneMs,
+    msPerMb: settings.crossZoneMsPerMb,
+    isEnabled: settings.zoneOverflow,
+    traffic: zoneTraffic,
+    random: Math.random,
+  });
   const engineSelector = new EngineSelector({
     clock,
     zone: instance.zone,
+    zoneOverflows,
     table,
     limits,
     estimator,
@@ -203,6 +215,8 @@
     unreadHeaders: new UnreadHeaderCounter(metrics.registry, log),
     zone: instance.zone,
     crossZoneMs: settings.crossZoneMs,
+    zoneOverflows,
+    zoneTraffic,
     table,
     estimator,
     generations,
--- a/features/steps/zone_overflow_steps.ts
+++ b/features/steps/zone_overflow_steps.ts
@@ -2,6 +2,9 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {ZoneOverflow, type ZoneDecision, type ZoneOffer} from '@jasminepost/policy';
+import {until} from '../support/fleet_process.ts';
+import {replicas, usersScenario} from '../support/users_scenario.ts';
+import {chooseByZone, countTraffic, type ReplicaKind} from '../support/zone_choices.ts';
 import {replayZones, type ZoneLoad, type ZoneOutcome} from '../support/zone_replay.ts';
 import type {FleetWorld} from '../support/world.ts';
 
@@ -36,6 +39,10 @@
 const loads = new WeakMap<FleetWorld, FleetLoad>();
 const outcomes = new WeakMap<FleetWorld, {fixed: ZoneOutcome; overflow: ZoneOutcome}>();
 const decisions = new WeakMap<FleetWorld, ZoneDecision>();
+const lastReasons = new WeakMap<FleetWorld, string>();
+const traffic = new WeakMap<FleetWorld, ReturnType<typeof countTraffic>>();
+const METRICS_PORT = 9464;
+const LOG_TIMEOUT_MS = 3000;
 
 Given(/^27 gateways in three zones with (.+)$/, function (this: FleetWorld, name: string) {
   loads.set(this, LOADS[name]);
@@ -135,6 +142,129 @@
   assert.equal(decision.kind === 'leave' ? decision.reason : 'stays', reason);
 });
 
+When(
+  /^the gateway's overflow is "(on|off)" and (\d+) requests are sent in (\d+) s, where (models|service replicas) in its zone take (\d+) ms longer than in others and report (a|no) pace$/,
+  function (
+    this: FleetWorld,
+    option: string,
+    count: string,
+    seconds: string,
+    kind: ReplicaKind,
+    slowerMs: string,
+    pace: string,
+  ) {
+    const stepMs = (Number(seconds) * 1000) / Number(count);
+    const load = {count: Number(count), stepMs, slowerMs: Number(slowerMs)};
+    const reasons = chooseByZone(kind, load, option === 'on', pace === 'a');
+    lastReasons.set(this, reasons.at(-1) ?? '');
+  },
+);
+
+Then(
+  'the last request leaves its zone with the reason {string}',
+  function (this: FleetWorld, reason: string) {
+    assert.equal(lastReasons.get(this), reason);
+  },
+);
+
+When(
+  'attempts with a body of {int} bytes get {int} and {int} bytes from another zone, and {int} bytes from the own zone',
+  function (this: FleetWorld, body: number, first: number, second: number, own: number) {
+    const counted = countTraffic(body);
+    counted.attempt('zone-b', first);
+    counted.attempt('zone-b', second);
+    counted.attempt('zone-a', own);
+    traffic.set(this, counted);
+  },
+);
+
+Then(
+  '{int} requests and {int} bytes of a service have left the zone',
+  function (this: FleetWorld, requests: number, bytes: number) {
+    const {metrics} = traffic.get(this)!;
+    assert.equal(metrics.zoneRequests.get('service'), requests);
+    assert.equal(metrics.zoneBytes.get('service'), bytes);
+  },
+);
+
+Then(
+  '{int} further attempts with {int} bytes set the expected bytes of an exchange to about {int}',
+  function (this: FleetWorld, count: number, bytes: number, expected: number) {
+    const counted = traffic.get(this)!;
+    for (let i = 0; i < count; i++) counted.attempt('zone-a', bytes);
+    assert.ok(Math.abs(counted.expectedBytes() - expected) < 1, String(counted.expectedBytes()));
+  },
+);
+
+Given(
+  'the replicas are in another zone and report a pace of {int}',
+  async function (this: FleetWorld, pace: number) {
+    const {fleet} = usersScenario(this);
+    // The services' entries are written last: a read that is sent to zone-b shows that all are known.
+    for (const replica of replicas(this).reverse()) {
+      replica.pace = pace;
+      replica.zone = 'zone-b';
+      fleet.register(replica);
+    }
+    await until('a read sent to zone-b', LOG_TIMEOUT_MS, async () => {
+      await fleet.call({path: '/read/x'});
+      const text = fleet.gateways[0].process.log.join('');
+      return /"request sent".*"zone":"zone-b"/.test(text) ? true : undefined;
+    });
+  },
+);
+
+When(
+  '{int} drafts and {int} reads are sent one after the other',
+  async function (this: FleetWorld, drafts: number, reads: number) {
+    const {fleet} = usersScenario(this);
+    for (let i = 0; i < drafts; i++) {
+      // A model may not be loaded yet; a refused request has not left the zone.
+      await until('a draft served', 10_000, async () => {
+        const {status} = await fleet.call({path: '/draft/x', id: `zone-draft-${i}`});
+        return status === 200 ? true : undefined;
+      });
+    }
+    for (let i = 0; i < reads; i++) {
+      assert.equal((await fleet.call({path: '/read/x', id: `zone-read-${i}`})).status, 200);
+    }
+  },
+);
+
+Then(
+  'the last draft and the last read were logged as sent to another zone with the reason {string}',
+  async function (this: FleetWorld, reason: string) {
+    const {log} = usersScenario(this).fleet.gateways[0].process;
+    for (const id of ['zone-draft-2', 'zone-read-2']) {
+      const line = await until(`the log line of ${id}`, LOG_TIMEOUT_MS, async () =>
+        log
+          .join('')
+          .split('\n')
+          .find(text => text.includes('"request sent"') && text.includes(`"${id}"`)),
+      );
+      const fields = JSON.parse(line) as Record<string, unknown>;
+      assert.equal(fields['zone'], 'zone-b');
+      assert.equal(fields['leftZone'], true);
+      assert.equal(fields['leaveReason'], reason);
+      assert.equal(typeof fields['zoneShare'], 'number');
+      assert.equal(typeof fields['loadAgeMs'], 'number');
+    }
+  },
+);
+
+Then(
+  'the metrics count at least {int} requests to models and {int} to services that left the zone, and bytes of both',
+  async function (this: FleetWorld, models: number, services: number) {
+    const {ip} = usersScenario(this).fleet.gateways[0];
+    const text = await (await fetch(`http://${ip}:${METRICS_PORT}/metrics`)).text();
+    for (const [kind, count] of Object.entries({model: models, service: services})) {
+      const found = new RegExp(`zone_requests\\{kind="${kind}"\\} (\\d+)`).exec(text);
+      assert.ok(Number(found?.[1]) >= count, `${kind}: ${found?.[1]}`);
+      assert.match(text, new RegExp(`zone_bytes\\{kind="${kind}"\\} [1-9]`));
+    }
+  },
+);
+
 function offerOf(text: string): ZoneOffer {
   if (text === 'full' || text === 'no_replica') return {kind: text};
   return {kind: 'available', costMs: Number(text)};
--- a/features/support/zone_replay.ts
+++ b/features/support/zone_replay.ts
@@ -238,7 +238,7 @@
       {...req, crossZoneMs: 0},
     );
     const leftMs = TARGET_MS - (nowMs - request.arrivedMs) - request.prefillMs;
-    const isHomeLate = isLate(home, leftMs) && !isLate(away, leftMs);
+    const isHomeLate = home.kind === 'chosen' && isLate(home, leftMs) && !isLate(away, leftMs);
     const ages = indexes.map(index => nowMs - gateway.views[index].reportedMs);
     const decision = gateway.overflow.decide({
       nowMs,
--- a/features/zone_overflow.feature
+++ b/features/zone_overflow.feature
@@ -66,3 +66,30 @@
       | no_replica | full       | leaves for "no_home_replica"  |
       | no_replica | no_replica | stays                         |
       | 900        | no_replica | stays                         |
+
+  # Guards against a share that is applied where replicas don't report their pace, or when off.
+  Scenario Outline: a gateway whose overflow is <switch> chooses among <replicas> that report <pace>
+    When the gateway's overflow is "<switch>" and 40 requests are sent in 2 s, where <replicas> in its zone take 900 ms longer than in others and report <pace>
+    Then the last request leaves its zone with the reason "<reason>"
+
+    Examples:
+      | replicas         | switch | pace    | reason    |
+      | models           | on     | a pace  | home_slow |
+      | models           | off    | a pace  | none      |
+      | models           | on     | no pace | none      |
+      | service replicas | on     | a pace  | home_slow |
+      | service replicas | off    | a pace  | none      |
+      | service replicas | on     | no pace | none      |
+
+  # Guards against bytes that are counted twice, or not when the attempt fails.
+  Scenario: bytes that cross are counted once for each attempt
+    When attempts with a body of 100 bytes get 250 and 0 bytes from another zone, and 70 bytes from the own zone
+    Then 2 requests and 450 bytes of a service have left the zone
+    And 100 further attempts with 400 bytes set the expected bytes of an exchange to about 500
+
+  Scenario: a request that leaves its zone is counted and logged with its reason
+    Given a users' fleet of 1 service replicas, 1 engines and 1 gateway
+    And the replicas are in another zone and report a pace of 120
+    When 3 drafts and 3 reads are sent one after the other
+    Then the last draft and the last read were logged as sent to another zone with the reason "no_home_replica"
+    And the metrics count at least 3 requests to models and 3 to services that left the zone, and bytes of both
--- a/packages/policy/src/lib/zone_overflow.ts
+++ b/packages/policy/src/lib/zone_overflow.ts
@@ -115,15 +115,15 @@
    */
   decide(inputs: ZoneInputs): ZoneDecision {
     const {home, away, nowMs, ageMs, waitedMs, draw} = inputs;
-    if (home.kind === 'no_replica') {
-      if (away.kind === 'no_replica') return {kind: 'stay', share: this.share};
-      // Requests return gradually when the first replica is back.
-      this.restart(1, nowMs);
-      return {kind: 'leave', reason: 'no_home_replica', share: 1};
-    }
     const advantage = relativeAdvantage(inputs);
     this.update(advantage, nowMs, ageMs);
     const {share} = this;
+    // Counted in the share, so that requests return gradually when the first replica is back; a
+    // single request that may not use the zone's replicas changes it little.
+    if (home.kind === 'no_replica') {
+      if (away.kind === 'no_replica') return {kind: 'stay', share};
+      return {kind: 'leave', reason: 'no_home_replica', share};
+    }
     if (away.kind !== 'available') return {kind: 'stay', share};
     if (home.kind === 'full') {
       const leaves = draw < share + waitedMs / MAX_HOLD_MS;
@@ -135,12 +135,12 @@
 
   private update(advantage: number, nowMs: number, ageMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.updatedMs);
+    this.updatedMs = nowMs;
     if (elapsedMs > FORGET_MS) {
-      this.restart(0, nowMs);
-      this.advantage = 0;
+      this.sum = 0;
+      this.advantage = advantage;
       return;
     }
-    this.updatedMs = nowMs;
     this.advantage += (1 - Math.exp(-elapsedMs / ADVANTAGE_TIME_MS)) * (advantage - this.advantage);
     if (this.sum === 0 && this.advantage < START_ADVANTAGE) return;
     const freshness = Math.max(MIN_FRESHNESS, Math.exp(-Math.max(0, ageMs) / LOAD_TIME_MS));
@@ -148,11 +148,6 @@
     const ratePerS = this.advantage > 0 ? RISE_PER_S : FALL_PER_S;
     this.sum = clampShare(this.sum + ratePerS * freshness * stepS * this.advantage);
   }
-
-  private restart(sum: number, nowMs: number): void {
-    this.sum = sum;
-    this.updatedMs = nowMs;
-  }
 }
 
 /** Advantage of leaving over staying, from -1 to 1, relative to the larger cost. */
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -88,6 +88,8 @@
   readonly onDisk = new Set<string>();
   sequence = 0;
   born = Date.now();
+  /** Pace that it reports, in percent of the usual time of work; undefined reports none. */
+  pace: number | undefined;
   private busy = false;
   /** Number of restarts and crashes; work that was begun before the last one is dropped. */
   private startCount = 0;
@@ -98,7 +100,7 @@
   constructor(
     public id: string,
     readonly service: string,
-    readonly zone: string,
+    public zone: string,
     readonly isEngine: boolean,
   ) {
     // A caller may be killed during a call; there is nobody left to respond to.
@@ -275,7 +277,8 @@
   /** Headers that identify this replica's response. */
   private ownHeaders({id}: RecordedRequest): Record<string, string> {
     const signature = {'response-signature': `sig.${this.id}.${id}`};
-    return {'request-id': id, 'server-load': '1,0,8', ...signature};
+    const load = this.pace === undefined ? '1,0,8' : `1,0,8,${this.pace}`;
+    return {'request-id': id, 'server-load': load, ...signature};
   }
 
   private async respond(
