--- a/apps/gateway/src/lib/attempt.ts
+++ b/apps/gateway/src/lib/attempt.ts
@@ -11,17 +11,21 @@
   readonly workMs: number;
   /** The same at the pace that was expected when it was sent. */
   readonly expectedMs: number;
+  /** Bytes of the response's body that have arrived. */
+  responseBytes = 0;
   private ended = false;
 
   /**
    * @param tokens - KV cache tokens that the request occupies or will occupy.
    * @param prefillMs - Prefill time of the request at the usual pace; 0 for plain services.
+   * @param onEnded - Called once, when it ends.
    */
   constructor(
     readonly replica: Replica,
     readonly sentMs: number,
     private readonly tokens: number,
     private readonly prefillMs: number,
+    private readonly onEnded: (attempt: Attempt) => void = () => undefined,
   ) {
     const pace = replica.paceAt(sentMs) ?? 1;
     this.workMs = replica.backlogMs(sentMs) / pace + prefillMs;
@@ -54,5 +58,6 @@
     this.replica.inFlight -= 1;
     if (this.firstEventMs === 0) this.replica.onAwaiting(-1, this.prefillMs);
     this.replica.kvTokens -= this.tokens;
+    this.onEnded(this);
   }
 }
--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -12,19 +12,18 @@
 import {
   selectBackend,
   EMPTY_GENERATION,
-  maxTokens,
   sharedPartIds,
   type GenerationParams,
   type Route,
 } from '@jasminepost/serving';
 import {judgeResponse} from './response_fault.ts';
 import {ResponseRelay, sendLocalResponse} from './response_relay.ts';
-import {Attempt} from './attempt.ts';
+import type {Attempt} from './attempt.ts';
 import {AttemptCount} from './attempt_count.ts';
 import {isFromOtherReplica, recordFirstEvent, recordResponseHead} from './response_head.ts';
 import {QuotaGate} from './quota_gate.ts';
 import {admitRequest, DEFAULT_RETRY_AFTER_MS} from './request_admission.ts';
-import {RequestLog, type AttemptFailure} from './request_log.ts';
+import {RequestLog, type AttemptFailure, type LogFields} from './request_log.ts';
 import {notSent, outgoingRequest} from './outgoing_request.ts';
 import {isDelayTolerant, scheduleRequest} from './request_schedule.ts';
 import {StallWatch, type WatchedStream} from './stall_watch.ts';
@@ -123,11 +122,13 @@
   }
 
   /** Sends the request to a replica; `logFields` are the inputs of the choice of replica. */
-  send(replica: Replica, logFields: Readonly<Record<string, unknown>>): void {
-    const {clock, estimator, metrics} = this.ctx;
+  send(replica: Replica, logFields: LogFields): void {
+    const {clock, estimator, metrics, zoneTraffic} = this.ctx;
+    const {body} = this.content;
+    const {generation} = this.head;
     const nowMs = clock.monotonicMs();
-    const prefillMs = estimator.prefillMs(this.head.generation);
-    const attempt = new Attempt(replica, nowMs, maxTokens(this.head.generation), prefillMs);
+    const prefillMs = estimator.prefillMs(generation);
+    const attempt = zoneTraffic.startAttempt(replica, nowMs, body, generation, prefillMs);
     this.attempt = attempt;
     this.count.sends += 1;
     replica.recordEvent({kind: 'sent'}, nowMs);
@@ -170,7 +171,7 @@
   refuse(
     reason: string,
     retryAfterMs: number,
-    logFields: Readonly<Record<string, unknown>>,
+    logFields: LogFields,
     status: 429 | 503 = 503,
   ): void {
     if (this.finished) return;
@@ -244,6 +245,7 @@
       this.stallWatch.onProgress(false);
       return false;
     }
+    this.attempt!.responseBytes += chunk.length;
     if (this.attempt!.firstEventMs === 0) {
       if (this.relay.isStream) this.versionGate.onFirstEvent(this.attempt!.replica);
       recordFirstEvent(this.ctx, this.attempt!, this.arrivedMs, this.head.generation);
@@ -323,7 +325,7 @@
   }
 
   /** Closes the connection of a silent attempt, then resumes the stream at another replica. */
-  moveStream(reason: StallReason, logFields: Readonly<Record<string, unknown>>): void {
+  moveStream(reason: StallReason, logFields: LogFields): void {
     this.log.moved(this.attempt!, logFields);
     this.abortExchange();
     this.onAttemptFailed({verdict: mayHaveRun('upstream_stalled'), detail: reason}, false);
@@ -370,11 +372,7 @@
   }
 
   /** Ends a request that may have run, with an error response or by aborting a started response. */
-  private fail(
-    status: 502 | 504,
-    reason: string,
-    logFields: Readonly<Record<string, unknown>>,
-  ): void {
+  private fail(status: 502 | 504, reason: string, logFields: LogFields): void {
     if (this.finished) return;
     if (this.relay.headSent) {
       this.finish('cut', {reason, ...logFields});
--- a/apps/gateway/src/lib/request_log.ts
+++ b/apps/gateway/src/lib/request_log.ts
@@ -7,7 +7,8 @@
 import type {GatewayContext} from './gateway_context.ts';
 import type {RequestOutcome} from './gateway_metrics.ts';
 
-type LogFields = Readonly<Record<string, unknown>>;
+/** @internal */
+export type LogFields = Readonly<Record<string, unknown>>;
 
 /** Why an attempt failed, and whether the request may have run. @internal */
 export interface AttemptFailure {
@@ -24,7 +25,10 @@
 /** @internal */
 export class RequestLog {
   constructor(
-    private readonly ctx: Pick<GatewayContext, 'clock' | 'log' | 'configVersion' | 'listAgeMs'>,
+    private readonly ctx: Pick<
+      GatewayContext,
+      'clock' | 'log' | 'zone' | 'configVersion' | 'listAgeMs'
+    >,
     private readonly head: CallerHeaders,
     private readonly route: Route,
     private readonly arrivedMs: number,
@@ -40,6 +44,8 @@
       route: this.route.name,
       organisation: this.organisation,
       replica: replica.id,
+      zone: replica.entry.zone,
+      leftZone: replica.entry.zone !== this.ctx.zone,
       version: replica.entry.softwareVersion,
       bornMs: replica.entry.bornMs,
       listAgeMs: Math.round(this.ctx.listAgeMs()),
--- a/stand_ins/users_platform/replica.ts
+++ b/stand_ins/users_platform/replica.ts
@@ -100,7 +100,7 @@
   constructor(
     public id: string,
     readonly service: string,
-    readonly zone: string,
+    public zone: string,
     readonly isEngine: boolean,
   ) {
     // A caller may be killed during a call; there is nobody left to respond to.
