Treat a response whose status does not exist as a fault of its replica

Cause: a replica's response with a status above 599 was passed on to the caller of a request that may not be sent again; 000 and others below 200 were not.

--- a/apps/gateway/src/lib/caller_request.ts
+++ b/apps/gateway/src/lib/caller_request.ts
@@ -16,7 +16,7 @@
   type GenerationParams,
   type Route,
 } from '@jasminepost/serving';
-import {judgeResponse} from './response_fault.ts';
+import {isErrorStatus, judgeResponse} from './response_fault.ts';
 import {ResponseRelay, sendLocalResponse} from './response_relay.ts';
 import type {Attempt} from './attempt.ts';
 import {AttemptCount} from './attempt_count.ts';
@@ -228,7 +228,7 @@
       }
       case 'faulty':
         // A well-formed error response leaves the connection usable, so only others are aborted.
-        if (head.status < 400) this.exchange?.abort();
+        if (!isErrorStatus(head.status)) this.exchange?.abort();
         this.onAttemptFailed({verdict: mayHaveRun('upstream_cut'), detail: verdict.detail}, true);
         return;
       case 'foreign':
--- a/apps/gateway/src/lib/response_fault.ts
+++ b/apps/gateway/src/lib/response_fault.ts
@@ -20,9 +20,17 @@
   readonly canRetry: boolean;
 }
 
+const MIN_FINAL_STATUS = 200;
+const MIN_ERROR_STATUS = 400;
+const MAX_STATUS = 599;
 /** Statuses from which a caller concludes that its request was not executed. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 429, 503];
 
+/** True for the status of a well-formed error, which leaves its connection usable. @internal */
+export function isErrorStatus(status: number): boolean {
+  return status >= MIN_ERROR_STATUS && status <= MAX_STATUS;
+}
+
 /**
  * Finds the reason for which a response must not be forwarded.
  *
@@ -33,6 +41,7 @@
  */
 function findResponseFault(head: ReplicaResponseHead, canRetry: boolean): string | undefined {
   const {status} = head;
+  if (status < MIN_FINAL_STATUS || status > MAX_STATUS) return `status ${status} does not exist`;
   if (status < 300 && !head.isSigned) return 'unsigned response';
   if (status >= 500 && canRetry) return `status ${status}`;
   // Without the not-executed header the replica has not confirmed that the request did not run.
