Share the listener of stand-ins that write their own bytes

Cause: the stand-in with odd statuses repeated the listener and registration of the one that cuts responses. Change: both extend RawReplica.

--- a/stand_ins/users_platform/cut_replica.ts
+++ b/stand_ins/users_platform/cut_replica.ts
@@ -1,6 +1,7 @@
 /** Replica of a service that stops writing its response at a given byte and ends the connection. */
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {resetConnection} from '@jasminepost/core';
+import {RawReplica} from './raw_replica.ts';
 
 export type ResponseForm =
   | 'a length'
@@ -90,32 +91,11 @@
   return `${before}${[statusLine, ...own, ...headers].join('\r\n')}\r\n\r\n${method === 'HEAD' ? '' : body}`;
 }
 
-export class CutReplica {
+export class CutReplica extends RawReplica {
   /** Requests that it has answered, by path. */
   readonly paths = new Set<string>();
-  private readonly server: Server;
 
-  constructor(readonly id: string) {
-    this.server = createServer(socket => this.serve(socket));
-  }
-
-  /** @param port - 0 for any free one. */
-  async listen(host: string, port = 0): Promise<void> {
-    await new Promise<void>(resolve => this.server.listen(port, host, resolve));
-  }
-
-  close(): void {
-    this.server.close();
-  }
-
-  /** The replica's registration record in the store. */
-  registration(service: string, zone: string): unknown {
-    const {address, port} = this.server.address() as AddressInfo;
-    const state = 'ready';
-    return {service, address: `${address}:${port}`, zone, version: 'v1', slots: 64, state};
-  }
-
-  private serve(socket: Socket): void {
+  protected serve(socket: Socket): void {
     socket.on('error', () => socket.destroy());
     let received = '';
     socket.on('data', chunk => {
--- a/stand_ins/users_platform/odd_status_replica.ts
+++ b/stand_ins/users_platform/odd_status_replica.ts
@@ -1,6 +1,6 @@
 /** Stand-in for a replica in trouble, whose responses have a status that no response may have. */
-import {createServer, type Server, type Socket} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import type {Socket} from 'node:net';
+import {RawReplica} from './raw_replica.ts';
 
 const REQUEST_ID = /^request-id: (.*)\r$/im;
 const IS_REPORT = /^GET \/-\/report /;
@@ -14,34 +14,17 @@
   readonly isStream: boolean;
 }
 
-export class OddStatusReplica {
-  readonly id = 'i-odd-status';
+export class OddStatusReplica extends RawReplica {
   /** Responses with the odd status that it has written. */
   oddResponses = 0;
   /** Requests on a connection that get a regular response before one with the odd status. */
   regularFirst = 0;
-  private readonly server: Server;
 
   constructor(private readonly options: OddStatusOptions) {
-    this.server = createServer(socket => this.serve(socket));
+    super('i-odd-status');
   }
 
-  async listen(host: string): Promise<void> {
-    await new Promise<void>(resolve => this.server.listen(0, host, resolve));
-  }
-
-  close(): void {
-    this.server.close();
-  }
-
-  /** The replica's registration record in the store. */
-  registration(service: string, zone: string): unknown {
-    const {address, port} = this.server.address() as AddressInfo;
-    const state = 'ready';
-    return {service, address: `${address}:${port}`, zone, version: 'v1', slots: 64, state};
-  }
-
-  private serve(socket: Socket): void {
+  protected serve(socket: Socket): void {
     socket.on('error', () => socket.destroy());
     let received = '';
     let answered = 0;
