--- a/apps/gateway/src/settings.ts
+++ b/apps/gateway/src/settings.ts
@@ -21,7 +21,7 @@
   zoneOverflow: {
     flag: 'zone-overflow',
     help: 'on: the share of requests that leaves the zone follows the load; off: at a fixed cost',
-    fallback: 'on',
+    fallback: 'off',
   },
 } as const;
 
--- a/features/steps/zone_overflow_steps.ts
+++ b/features/steps/zone_overflow_steps.ts
@@ -3,7 +3,8 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {ZoneOverflow, type ZoneDecision, type ZoneOffer} from '@jasminepost/policy';
 import {until} from '../support/fleet_process.ts';
-import {replicas, usersScenario} from '../support/users_scenario.ts';
+import {UsersFleet} from '../support/users_fleet.ts';
+import {replicas, usersScenario, usersScenarios} from '../support/users_scenario.ts';
 import {chooseByZone, countTraffic, type ReplicaKind} from '../support/zone_choices.ts';
 import {replayZones, type ZoneLoad, type ZoneOutcome} from '../support/zone_replay.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -196,6 +197,16 @@
   },
 );
 
+Given(
+  "a users' fleet of {int} service replicas, {int} engines and {int} gateway with zone overflow",
+  async function (this: FleetWorld, services: number, engines: number, gateways: number) {
+    const fleet = new UsersFleet();
+    fleet.gatewayFlags = ['--zone-overflow', 'on'];
+    usersScenarios.set(this, {fleet, answers: [], pending: Promise.resolve([]), wasUnready: false});
+    await fleet.start(services, engines, gateways);
+  },
+);
+
 Given(
   'the replicas are in another zone and report a pace of {int}',
   async function (this: FleetWorld, pace: number) {
--- a/features/support/users_fleet.ts
+++ b/features/support/users_fleet.ts
@@ -82,6 +82,8 @@
   /** Memory of each process, and options of Node.js for it; set them before the start. */
   memoryMb = 350;
   nodeArgs: readonly string[] = [];
+  /** Further flags of the gateways. */
+  gatewayFlags: readonly string[] = [];
   /** Largest body that the configuration allows. */
   bodyBytes = 65_536;
   private readonly storeProxies: LoopbackProxy[] = [];
@@ -360,7 +362,8 @@
         }),
       ),
     );
-    const args = ['--config', path, '--mesh-key', MESH_KEY];
+    const flags = program === 'jasminepost-gateway' ? this.gatewayFlags : [];
+    const args = ['--config', path, '--mesh-key', MESH_KEY, ...flags];
     return new FleetProcess(program, args, false, this.nodeArgs);
   }
 
--- a/features/zone_overflow.feature
+++ b/features/zone_overflow.feature
@@ -88,7 +88,7 @@
     And 100 further attempts with 400 bytes set the expected bytes of an exchange to about 500
 
   Scenario: a request that leaves its zone is counted and logged with its reason
-    Given a users' fleet of 1 service replicas, 1 engines and 1 gateway
+    Given a users' fleet of 1 service replicas, 1 engines and 1 gateway with zone overflow
     And the replicas are in another zone and report a pace of 120
     When 3 drafts and 3 reads are sent one after the other
     Then the last draft and the last read were logged as sent to another zone with the reason "no_home_replica"
