Reuse the offer of a zone in its replay; compute backlog and pace of a candidate once

Cause: the replay of zones repeated how a choice of engines becomes the offer of a zone, and each candidate of a model request computed its pace and its waiting requests twice. Change: the replay calls engineOffer of the gateway; asEngineCandidate passes both values on. Result: behaviour as before; replica_cost and zone_overflow 74 passed, 0 failed; types, linter, formatter and imports pass.

--- a/apps/gateway/src/lib/engine_zone_choice.ts
+++ b/apps/gateway/src/lib/engine_zone_choice.ts
@@ -61,8 +61,8 @@
   const pool = poolKey(request.service, request.generation.model);
   const decision = overflows.decide(pool, request, {
     nowMs,
-    home: isHomeTooLate ? {kind: 'full'} : offerOf(home),
-    away: offerOf(away),
+    home: isHomeTooLate ? {kind: 'full'} : engineOffer(home),
+    away: engineOffer(away),
     ageMs,
     waitedMs: nowMs - request.arrivedMs,
     prefixSavingMs: engineRequest.prefixSavingMs,
@@ -71,7 +71,8 @@
   return {choice, zoneFields: zoneLogFields(decision, ageMs)};
 }
 
-function offerOf(choice: EngineChoice): ZoneOffer {
+/** What a zone offers by the best of its replicas. @internal */
+export function engineOffer(choice: EngineChoice): ZoneOffer {
   switch (choice.kind) {
     case 'chosen':
       return {kind: 'available', costMs: choice.costMs};
--- a/apps/gateway/src/lib/replica.ts
+++ b/apps/gateway/src/lib/replica.ts
@@ -267,8 +267,10 @@
 
   /** Expected time until its requests that have had no first event yet have had it. */
   backlogMs(nowMs: number): number {
-    const count = this.expectedAwaiting(nowMs);
-    const pace = this.paceAt(nowMs);
+    return this.backlogOf(this.expectedAwaiting(nowMs), this.paceAt(nowMs));
+  }
+
+  private backlogOf(count: number, pace: number | undefined): number {
     if (pace === undefined) return count * this.prefillMs;
     const others = Math.max(0, count - this.awaitingFirstEvent);
     return pace * (this.awaitingMs + others * this.usualPrefillMs);
@@ -302,18 +304,20 @@
   asEngineCandidate(adapter: string, model: string, slots: number, nowMs: number): EngineCandidate {
     const recentLoad = this.recentLoad(nowMs);
     const inFlight = (recentLoad?.running ?? 0) + (recentLoad?.waiting ?? 0);
+    const awaitingFirstEvent = this.expectedAwaiting(nowMs);
+    const pace = this.paceAt(nowMs);
     return {
       id: this.id,
       idHash: this.idHash,
       zone: this.entry.zone,
       hasAdapter: this.hasLoaded(model, adapter),
-      awaitingFirstEvent: this.expectedAwaiting(nowMs),
+      awaitingFirstEvent,
       active: this.estimateNow('inFlight', inFlight, nowMs),
       slots,
       kvUsed: this.estimateNow('kvTokens', recentLoad?.kvUsed ?? 0, nowMs),
       kvTotal: recentLoad?.kvTotal ?? Number.POSITIVE_INFINITY,
-      backlogMs: this.backlogMs(nowMs),
-      pace: this.paceAt(nowMs),
+      backlogMs: this.backlogOf(awaitingFirstEvent, pace),
+      pace,
     };
   }
 
--- a/features/support/zone_replay.ts
+++ b/features/support/zone_replay.ts
@@ -10,8 +10,8 @@
   type EngineChoice,
   type EngineRequest,
   type ReplicaPace,
-  type ZoneOffer,
 } from '@jasminepost/policy';
+import {engineOffer} from '../../apps/gateway/src/lib/engine_zone_choice.ts';
 import {SeededRandom} from '../../bench/random.ts';
 
 export interface ZoneLoad {
@@ -242,8 +242,8 @@
     const ages = indexes.map(index => nowMs - gateway.views[index].reportedMs);
     const decision = gateway.overflow.decide({
       nowMs,
-      home: isHomeLate ? {kind: 'full'} : offerOf(home),
-      away: offerOf(away),
+      home: isHomeLate ? {kind: 'full'} : engineOffer(home),
+      away: engineOffer(away),
       crossingMs: crossingPriceMs({
         roundTripMs: ASSUMED_ROUND_TRIP_MS,
         bytes: EXCHANGE_BYTES,
@@ -318,17 +318,6 @@
   }
 }
 
-function offerOf(choice: EngineChoice): ZoneOffer {
-  switch (choice.kind) {
-    case 'chosen':
-      return {kind: 'available', costMs: choice.costMs};
-    case 'full':
-      return {kind: 'full'};
-    case 'none':
-      return {kind: 'no_replica'};
-  }
-}
-
 function isLate(choice: EngineChoice, leftMs: number): boolean {
   return choice.kind !== 'chosen' || choice.backlogMs > leftMs;
 }
