--- a/review/tools-2/fleet.mjs
+++ b/review/tools-2/fleet.mjs
@@ -240,6 +240,7 @@
     found.record('the case did not end in time');
     void found.end(2);
   }, 110_000);
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => void found.end(2));
   try {
     const isBroken = await body(found);
     clearTimeout(overdue);
