--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,7 @@
 cd "$(dirname "$0")/.."
 # CommonJS packages call `require`, which is not defined in an ES module.
 banner="import {createRequire as bundleRequire} from 'node:module'; const require = bundleRequire(import.meta.url);"
-for script in review/*/case.mjs; do
-  number=$(basename "$(dirname "$script")")
-  node_modules/.bin/esbuild "$script" --bundle --platform=node --target=node20 --format=esm \
+for number in 6 7 8 9 10; do
+  node_modules/.bin/esbuild "review/$number/case.mjs" --bundle --platform=node --target=node20 --format=esm \
     --banner:js="$banner" --log-level=warning --outfile="target/review-2/$number.mjs"
 done
