Keep the end of a connection until its paused response has been read

Answers with a length whose connection closed meanwhile were cut though complete.

Cause: the HTTP client pauses its parser for a response that must wait, and asserts that it isn't paused when the connection ends or is reset. The end was emitted with the last data, or at an empty buffer, whether or not the reader was paused. Seen in the stack of the escaped error (Parser.finish under onHttpSocketEnd and onHttpSocketError).

Change: every connection, in both fronts and to the store, comes from httpConnector, where the end stays unread until the reader reads again, and a reset is an error that the client doesn't take for an end.

--- a/apps/sidecar/src/lib/upstream_health.ts
+++ b/apps/sidecar/src/lib/upstream_health.ts
@@ -1,6 +1,6 @@
 /** Probes the upstream's health, and distinguishes a crash from a cut connection. */
 import {Agent, request} from 'undici';
-import {Disposer} from '@jasminepost/core';
+import {Disposer, httpConnector} from '@jasminepost/core';
 import type {SidecarMetrics} from './sidecar_metrics.ts';
 
 const PROBE_INTERVAL_MS = 1000;
@@ -14,7 +14,10 @@
   healthy = false;
   private incarnation = '';
   private consecutiveFailures = 0;
-  private readonly agent = new Agent({connections: 2, connect: {timeout: PROBE_TIMEOUT_MS}});
+  private readonly agent = new Agent({
+    connections: 2,
+    connect: httpConnector({timeout: PROBE_TIMEOUT_MS}),
+  });
   private readonly disposer = new Disposer();
   private pendingCheck: Promise<boolean> | undefined;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -48,6 +48,7 @@
 } from './lib/verdict.ts';
 export type {RequestClass, UpstreamKind} from './lib/shared_types.ts';
 export {isCloseDelimited} from './lib/body_framing.ts';
+export {httpConnector} from './lib/http_connector.ts';
 export {resetConnection} from './lib/reset_connection.ts';
 export {listenOn} from './lib/listen_on.ts';
 export {ResetDetector} from './lib/reset_detector.ts';
--- a/packages/core/src/lib/reset_detector.ts
+++ b/packages/core/src/lib/reset_detector.ts
@@ -2,6 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {Socket} from 'node:net';
 import {buildConnector, DecoratorHandler, type Dispatcher} from 'undici';
+import {withDeferredEnd} from './http_connector.ts';
 
 /** Lower statuses are those of interim responses, which precede the final one. */
 const FIRST_FINAL_STATUS = 200;
@@ -13,8 +14,7 @@
 type Probe = Promise<Error | undefined>;
 
 /**
- * A response without a content length ends with its connection, and two things hide a reset of
- * that connection: undici treats it as the end of the response, and libuv reports an end of input
+ * A response without a content length ends with its connection, and libuv reports an end of input
  * instead of a reset that arrives together with the last bytes. An empty write then still fails.
  *
  * @example
@@ -24,7 +24,7 @@
  * @public
  */
 export class ResetDetector {
-  /** Set while the listeners for a socket's end or error run. */
+  /** Set while the listeners for a socket's end run. */
   private probe: Probe | undefined;
 
   /** @param onSocket - Called for each new connection. */
@@ -41,7 +41,7 @@
   /** Like `connector`, for connections that are opened in another way. */
   watchedConnector(connect: buildConnector.connector): buildConnector.connector {
     return (target, callback) => {
-      connect(target, (...result: Parameters<buildConnector.Callback>) => {
+      withDeferredEnd(connect)(target, (...result: Parameters<buildConnector.Callback>) => {
         const socket: unknown = result[1];
         // A failed connection attempt has no socket.
         if (socket instanceof Socket) {
@@ -54,7 +54,6 @@
   }
 
   private watch(socket: Socket): void {
-    socket.prependListener('error', (error: Error) => this.publishProbe(Promise.resolve(error)));
     socket.prependListener('end', () => {
       this.publishProbe(
         new Promise(resolve => {
--- a/packages/engine/src/lib/completion_call.ts
+++ b/packages/engine/src/lib/completion_call.ts
@@ -4,6 +4,7 @@
   completed,
   discardBody,
   GrowingBuffer,
+  httpConnector,
   mayHaveRun,
   notRun,
   verdictForSendFailure,
@@ -14,9 +15,11 @@
 /** Longer error responses are taken to be endless. */
 const MAX_ERROR_BYTES = 1_048_576;
 
+const CONNECT_TIMEOUT_MS = 1000;
+
 const agent = new Agent({
   connections: null,
-  connect: {timeout: 1000},
+  connect: httpConnector({timeout: CONNECT_TIMEOUT_MS}),
   headersTimeout: 0,
   bodyTimeout: 0,
 });
--- a/packages/engine/src/lib/engine_client.ts
+++ b/packages/engine/src/lib/engine_client.ts
@@ -1,9 +1,10 @@
 /** Client for the state and orders of a model engine; see docs/contracts/engine.md. */
 import {Agent, request} from 'undici';
 import * as z from 'zod';
-import {errorMessage, UpstreamError} from '@jasminepost/core';
+import {errorMessage, httpConnector, UpstreamError} from '@jasminepost/core';
 
 const CALL_TIMEOUT_MS = 1500;
+const CONNECT_TIMEOUT_MS = 1000;
 
 const stateSchema = z.object({
   incarnation: z.string(),
@@ -39,7 +40,10 @@
 
 /** Every call throws UpstreamError on failure; a failed order may still take effect. @public */
 export class EngineClient {
-  private readonly agent = new Agent({connections: 2, connect: {timeout: 1000}});
+  private readonly agent = new Agent({
+    connections: 2,
+    connect: httpConnector({timeout: CONNECT_TIMEOUT_MS}),
+  });
 
   constructor(private readonly baseUrl: string) {}
 
--- a/packages/key_value/src/lib/instance_list_client.ts
+++ b/packages/key_value/src/lib/instance_list_client.ts
@@ -1,11 +1,13 @@
 /** Client of the platform's instance list, which lags; see docs/contracts/instance_list.md. */
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import * as z from 'zod';
-import {backoffMs, PlatformError, sleep} from '@jasminepost/core';
+import {backoffMs, httpConnector, PlatformError, sleep} from '@jasminepost/core';
 
 const CALL_TIMEOUT_MS = 2000;
 const RETRY_CAP_MS = 3000;
 
+const agent = new Agent({connect: httpConnector({timeout: CALL_TIMEOUT_MS})});
+
 const instanceSchema = z.object({
   id: z.string(),
   role: z.enum(['entry', 'sidecar']),
@@ -41,6 +43,7 @@
   /** Reads the list once. */
   static async read(baseUrl: string): Promise<ListedInstance[]> {
     const res = await request(`${baseUrl}/v1/instances`, {
+      dispatcher: agent,
       signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
     const text = await res.body.text();
--- a/packages/key_value/src/lib/store_http_client.ts
+++ b/packages/key_value/src/lib/store_http_client.ts
@@ -1,6 +1,12 @@
 /** HTTP calls to a key-value service; errors state whether a failed call had an effect. */
 import {Agent, request, type Dispatcher} from 'undici';
-import {errorMessage, failedBeforeSend, PlatformError, type CounterFamily} from '@jasminepost/core';
+import {
+  errorMessage,
+  failedBeforeSend,
+  httpConnector,
+  PlatformError,
+  type CounterFamily,
+} from '@jasminepost/core';
 import {ResponseTimeout} from './response_timeout.ts';
 
 type Method = 'GET' | 'PUT' | 'POST';
@@ -129,12 +135,12 @@
 
   private createAgent(): Agent {
     const {connections, connectTimeoutMs} = this.limits;
-    return new Agent({connections, pipelining: 1, connect: {timeout: connectTimeoutMs}});
+    return new Agent({connections, pipelining: 1, connect: httpConnector({timeout: connectTimeoutMs})});
   }
 
   private createLongRunningAgent(): Agent {
     return new Agent({
-      connect: {timeout: this.limits.connectTimeoutMs},
+      connect: httpConnector({timeout: this.limits.connectTimeoutMs}),
       keepAliveTimeout: LONG_RUNNING_IDLE_MS,
       keepAliveMaxTimeout: LONG_RUNNING_IDLE_MS,
     });
--- a/stand_ins/users_platform/replica_stream.ts
+++ b/stand_ins/users_platform/replica_stream.ts
@@ -6,6 +6,7 @@
 export type StreamFault =
   | 'none'
   | 'no length'
+  | 'no length, at once'
   | 'no length, ends in an event'
   | 'chunks, ends in an event'
   | 'a shorter length, cut after an event'
@@ -77,7 +78,7 @@
       return;
     }
     res.write(event);
-    await sleep(id === 1 ? eventMs + pauseAfterFirstMs : eventMs);
+    if (fault !== 'no length, at once') await sleep(id === 1 ? eventMs + pauseAfterFirstMs : eventMs);
   }
   res.end();
 }
