Compose the message of a failed assertion without the source of the bundle

Callers saw: an error that the gateway survives made it stand still for 42 s.

Cause: node:assert parses the source from the failing column on to compose its message; the bundles are a few very long lines.

Change: bundles contain an assert that needs no source.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,7 +1,7 @@
 // Bundles each program into dist/; npm packages stay external, unless JASMINEPOST_BUNDLE is 1.
 import {build} from 'esbuild';
 import {readdirSync, readFileSync} from 'node:fs';
-import {fileURLToPath} from 'node:url';
+import {bundleOptions} from './bundle/options.mjs';
 
 // A deployment includes the npm packages; runs in the repository use those in node_modules.
 const bundled = process.env.JASMINEPOST_BUNDLE === '1';
@@ -35,13 +35,6 @@
   },
 };
 
-// CommonJS packages call `require`, which is not defined in an ES module.
-const BUNDLE_BANNER = [
-  '#!/usr/bin/env node',
-  "import {createRequire as bundleRequire} from 'node:module';",
-  'const require = bundleRequire(import.meta.url);',
-].join('\n');
-
 const externalPackages = {
   name: 'external-packages',
   setup(ctx) {
@@ -53,16 +46,9 @@
   },
 };
 
-/** Replaces libraries of which the programs use a small part, in bundles only. */
-const librarySubsets = {
-  name: 'library-subsets',
-  setup(ctx) {
-    const subsets = {undici: 'undici.cjs', 'hdr-histogram-js': 'hdr_histogram.cjs'};
-    ctx.onResolve({filter: /^(undici|hdr-histogram-js)$/}, args => ({
-      path: fileURLToPath(new URL(`bundle/${subsets[args.path]}`, import.meta.url)),
-    }));
-  },
-};
+const options = bundled
+  ? bundleOptions
+  : {banner: {js: '#!/usr/bin/env node'}, plugins: [externalPackages]};
 
 await build({
   entryPoints,
@@ -75,10 +61,7 @@
   splitting: true,
   chunkNames: 'chunks/[hash]',
   sourcemap: true,
-  // Reduces what is read at each start; identifiers stay for the stack traces.
-  minifyWhitespace: bundled,
-  minifySyntax: bundled,
   logLevel: 'warning',
-  banner: {js: bundled ? BUNDLE_BANNER : '#!/usr/bin/env node'},
-  plugins: bundled ? [applyMutant, librarySubsets] : [applyMutant, externalPackages],
+  ...options,
+  plugins: [applyMutant, ...options.plugins],
 });
