--- a/packages/core/src/lib/http_connector.ts
+++ b/packages/core/src/lib/http_connector.ts
@@ -1,7 +1,7 @@
 /** Connections for undici on which a paused response keeps its end. */
 import {Socket} from 'node:net';
 import {buildConnector} from 'undici';
-import {UpstreamError} from './errors.ts';
+import {errorMessage, UpstreamError} from './errors.ts';
 
 /**
  * Opens connections like undici's own connector. Every dispatcher must use it: undici handles the
@@ -57,7 +57,7 @@
 function renameReset(socket: Socket): void {
   const destroy = socket.destroy.bind(socket);
   socket.destroy = (error?: Error) => {
-    const isReset = (error)?.code === 'ECONNRESET';
-    return destroy(isReset ? new UpstreamError('connection_reset', error.message) : error);
+    const isReset = (error as {code?: unknown} | undefined)?.code === 'ECONNRESET';
+    return destroy(isReset ? new UpstreamError('connection_reset', errorMessage(error)) : error);
   };
 }
