Renew no agent of a store client that is closed

Operators saw: an entry that stopped logged 'unexpected error' with ClientDestroyedError.

Cause: a call that fails because its client is closed renewed the agent of the client, and closing the destroyed one was rejected without a handler.

Change: a closed client renews nothing.

Evidence: the scenario that closes a client during a call failed before and passes.

--- a/features/steps/uncaught_error_steps.ts
+++ b/features/steps/uncaught_error_steps.ts
@@ -2,11 +2,14 @@
 import assert from 'node:assert/strict';
 import {spawn} from 'node:child_process';
 import {mkdtempSync, rmSync} from 'node:fs';
+import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {Then, When} from '@cucumber/cucumber';
 import {build} from 'esbuild';
+import {MetricRegistry, sleep} from '@jasminepost/core';
+import {StoreClient, type StoreCall} from '@jasminepost/platform';
 import {bundleOptions} from '../../scripts/bundle/options.mjs';
 import {usersScenario} from '../support/users_scenario.ts';
 import type {FleetWorld} from '../support/world.ts';
@@ -22,6 +25,12 @@
   readonly output: string;
 }
 
+const CALL_MS = 50;
+
+const closedCalls = new WeakMap<
+  FleetWorld,
+  {readonly outcome: string; readonly escaped: readonly unknown[]}
+>();
 const runs = new WeakMap<FleetWorld, ProgramRun>();
 
 When(
@@ -62,6 +71,31 @@
   },
 );
 
+When('a store client is closed during a call', async function (this: FleetWorld) {
+  const server = createServer(() => undefined);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const calls = new MetricRegistry().counter<StoreCall>('calls', 'Calls.', 'kind');
+  const store = new StoreClient({host: '127.0.0.1', port}, calls);
+  const escaped: unknown[] = [];
+  const note = (thrown: unknown) => escaped.push(thrown);
+  process.on('unhandledRejection', note);
+  const call = store.get('a').then(
+    () => 'succeeded',
+    () => 'failed',
+  );
+  await sleep(CALL_MS);
+  await store.close();
+  closedCalls.set(this, {outcome: await call, escaped});
+  await sleep(CALL_MS);
+  process.off('unhandledRejection', note);
+  server.close();
+});
+
+Then('the call has failed, and no error has escaped', function (this: FleetWorld) {
+  assert.deepEqual(closedCalls.get(this), {outcome: 'failed', escaped: []});
+});
+
 async function runToEnd(args: readonly string[]): Promise<ProgramRun> {
   const child = spawn(process.execPath, args);
   let output = '';
--- a/features/uncaught_errors.feature
+++ b/features/uncaught_errors.feature
@@ -17,3 +17,8 @@
   Scenario: a bundled program in which an assertion of a library fails goes on at once
     When a bundled program runs in which an assertion of a library fails
     Then one error has escaped, and the program has stood still for at most 50 ms
+
+  # An entry that stopped logged such an error.
+  Scenario: a store client that is closed during a call raises no error that nothing takes
+    When a store client is closed during a call
+    Then the call has failed, and no error has escaped
--- a/packages/key_value/src/lib/store_http_client.ts
+++ b/packages/key_value/src/lib/store_http_client.ts
@@ -67,6 +67,7 @@
   private agent: Agent;
   /** For long-running calls, so that these do not delay others. */
   private longRunningAgent: Agent;
+  private isClosed = false;
 
   constructor(
     private readonly origin: string,
@@ -119,6 +120,7 @@
   }
 
   async close(): Promise<void> {
+    this.isClosed = true;
     await Promise.all([this.agent.destroy(), this.longRunningAgent.destroy()]);
   }
 
@@ -127,6 +129,7 @@
    * unresponsive as well.
    */
   private renew(agent: Agent): void {
+    if (this.isClosed) return;
     if (agent === this.agent) this.agent = this.createAgent();
     else if (agent === this.longRunningAgent) this.longRunningAgent = this.createLongRunningAgent();
     else return;
