Fail each scenario and soak run in which an error escapes

Change: the lines 'unexpected error' of all processes are collected; at the end of a scenario or a soak run, one of them is a failure.

--- a/features/steps/paused_response_steps.ts
+++ b/features/steps/paused_response_steps.ts
@@ -1,6 +1,5 @@
 /** Steps about responses whose connection ends while their reader is paused. */
 import assert from 'node:assert/strict';
-import {connect} from 'node:net';
 import {Then, When} from '@cucumber/cucumber';
 import {MetricRegistry, sleep} from '@jasminepost/core';
 import {streamCompletion} from '@jasminepost/engine';
@@ -12,11 +11,11 @@
 } from '@jasminepost/platform';
 import {callService} from '@jasminepost/service';
 import {LargeServer, type LargeEnding, type LargeFraming} from '../../stand_ins/large_response.ts';
-import {until, type FleetProcess} from '../support/fleet_process.ts';
+import {bodyLength, looksComplete, readLate, type LateResponse} from '../support/late_caller.ts';
+import {takeUnexpectedErrors, until} from '../support/fleet_process.ts';
 import {PAID_KEY} from '../support/test_fleet.ts';
 import {HOST} from '../support/users_fleet.ts';
-import {usersScenario, usersScenarios} from '../support/users_scenario.ts';
-import {wasResetAtEnd, watchForReset} from '../support/reset_watch.ts';
+import {usersScenario} from '../support/users_scenario.ts';
 import type {FleetWorld} from '../support/world.ts';
 
 type Outcome = 'complete' | 'cut' | 'dropped' | 'pending';
@@ -33,12 +32,6 @@
 const READ_INTERVAL_MS = 100;
 const READY_TIMEOUT_MS = 5000;
 
-interface LateResponse {
-  readonly text: string;
-  /** True when the connection ended with an error. */
-  readonly wasReset: boolean;
-}
-
 const outcomes = new WeakMap<FleetWorld, Outcome>();
 const escapedErrors = new WeakMap<FleetWorld, unknown[]>();
 const lateResponses = new WeakMap<FleetWorld, LateResponse[]>();
@@ -192,26 +185,6 @@
   assert.deepEqual(escapedErrors.get(this), []);
 });
 
-/** Sends a request and reads nothing of its response for a time. */
-async function readLate(host: string, port: number, head: string): Promise<LateResponse> {
-  const socket = connect({host, port});
-  watchForReset(socket);
-  socket.pause();
-  socket.write(head, 'latin1');
-  await sleep(LATE_MS);
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let hasFailed = false;
-    socket.on('data', chunk => chunks.push(chunk));
-    socket.on('error', () => (hasFailed = true));
-    socket.on('close', () => {
-      const text = Buffer.concat(chunks).toString('latin1');
-      void wasResetAtEnd(socket).then(wasReset => resolve({text, wasReset: hasFailed || wasReset}));
-    });
-    socket.resume();
-  });
-}
-
 When(
   /^(\d+) callers of the gateway read late responses with (.+), ended by (.+)$/,
   {timeout: 30_000},
@@ -243,6 +216,7 @@
       readLate(
         gateway.ip,
         gateway.callerPort,
+        LATE_MS,
         `GET /read/a HTTP/1.1\r\nhost: ${HOST}\r\nrequest-id: late-${i}\r\ndeadline-ms: 10000\r\nconnection: close\r\n\r\n`,
       ),
     );
@@ -278,28 +252,13 @@
       'connection: close',
     ];
     const late = Array.from({length: Number(callers)}, () =>
-      readLate(entry.hostname, Number(entry.port), `${head.join('\r\n')}\r\n\r\n`),
+      readLate(entry.hostname, Number(entry.port), LATE_MS, `${head.join('\r\n')}\r\n\r\n`),
     );
     lateResponses.set(this, await Promise.all(late));
     server.close();
   },
 );
 
-/** Bytes of the body, without the framing of chunks. */
-function bodyLength(text: string): number {
-  const body = text.slice(text.indexOf('\r\n\r\n') + 4);
-  return body.match(/x/g)?.length ?? 0;
-}
-
-/** True when the caller can't tell the response from a complete one. */
-function looksComplete({text, wasReset}: LateResponse): boolean {
-  if (wasReset) return false;
-  const [head] = text.split('\r\n\r\n', 1);
-  const length = /^content-length: (\d+)\r?$/im.exec(head)?.[1];
-  if (length !== undefined) return text.length - head.length - 4 === Number(length);
-  return !/^transfer-encoding: chunked\r?$/im.test(head) || text.endsWith('0\r\n\r\n');
-}
-
 Then(/^the late responses are (whole|cut)$/, function (this: FleetWorld, wanted: string) {
   for (const response of lateResponses.get(this)!) {
     const {text, wasReset} = response;
@@ -315,17 +274,6 @@
   assert.ok(times.length > 0 && Math.max(...times) <= maxMs, `${Math.max(...times)} ms`);
 });
 
-Then('no error has escaped from a process', function (this: FleetWorld) {
-  for (const process of processesOf(this)) {
-    const lines = process.log.join('').split('\n');
-    const unexpected = lines.filter(line => line.includes('unexpected error'));
-    assert.deepEqual(unexpected, []);
-  }
+Then('no error has escaped from a process', function () {
+  assert.deepEqual(takeUnexpectedErrors(), []);
 });
-
-function processesOf(world: FleetWorld): FleetProcess[] {
-  const users = usersScenarios.get(world)?.fleet;
-  if (users !== undefined) return [...users.gateways.map(each => each.process), ...users.stewards];
-  const {entries, sidecars} = world.fleet;
-  return [...entries, ...sidecars].map(each => each.process);
-}
--- a/features/support/fleet_process.ts
+++ b/features/support/fleet_process.ts
@@ -46,6 +46,16 @@
   }
 }
 
+/** Lines about errors that nothing took, of all processes, since they were last taken. */
+let unexpectedErrors: string[] = [];
+
+/** Returns and forgets these lines; a scenario or run that injects no such error has none. */
+export function takeUnexpectedErrors(): string[] {
+  const taken = unexpectedErrors;
+  unexpectedErrors = [];
+  return taken;
+}
+
 /** A child process that runs one of the built programs. */
 export class FleetProcess {
   readonly log: string[] = [];
@@ -66,7 +76,14 @@
     this.child = spawn(process.execPath, [...nodeArgs, `${DIST}/${program}.js`, ...args], {
       stdio: [isInteractive ? 'pipe' : 'ignore', 'pipe', 'pipe'],
     });
-    const append = (data: Buffer) => this.log.push(data.toString('utf8'));
+    let line = '';
+    const append = (data: Buffer) => {
+      const text = data.toString('utf8');
+      this.log.push(text);
+      const lines = (line + text).split('\n');
+      line = lines.pop()!;
+      unexpectedErrors.push(...lines.filter(each => each.includes('"unexpected error"')));
+    };
     this.child.stdout!.on('data', append);
     this.child.stderr!.on('data', append);
     this.exited = new Promise(resolve => {
--- a/features/support/world.ts
+++ b/features/support/world.ts
@@ -1,10 +1,11 @@
 /** State of one cucumber scenario, and the hooks that clean up after it. */
+import assert from 'node:assert/strict';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {After, AfterAll, setDefaultTimeout, setWorldConstructor, World} from '@cucumber/cucumber';
 import type {CompletionResponse, ServiceResponse} from './caller.ts';
-import type {FleetProcess} from './fleet_process.ts';
+import {takeUnexpectedErrors, type FleetProcess} from './fleet_process.ts';
 import {LoadRun} from './load_run.ts';
 import type {FleetOptions} from './fleet_types.ts';
 import {PAID_KEY, TestFleet} from './test_fleet.ts';
@@ -90,6 +91,7 @@
 
 After(async function (this: FleetWorld) {
   await this.dispose();
+  assert.deepEqual(takeUnexpectedErrors(), []);
 });
 
 AfterAll(async () => {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -2,6 +2,7 @@
 import {sleep} from '@jasminepost/core';
 import {SeededRandom} from '../bench/random.ts';
 import {UsersFleet} from '../features/support/users_fleet.ts';
+import {takeUnexpectedErrors} from '../features/support/fleet_process.ts';
 import {findViolations, findOverloadedEngines} from './soak_checks.ts';
 import {drawFaults, faultKindsForSeed, injectFault, type FaultKind} from './soak_faults.ts';
 import {SoakLoad, type CallKind} from './soak_load.ts';
@@ -62,6 +63,7 @@
     const violations = [
       ...overloads,
       ...findViolations(fleet, load.calls, gatewayStarts, linkFaults),
+      ...takeUnexpectedErrors(),
     ];
     const recovered = recovery.filter(call => call.response?.status === 200 && !call.response.cut);
     if (recovered.length < MIN_RECOVERED_SHARE * recovery.length) {
