Wait in a stop until responses are written, and reset what is not

Callers saw: a gateway that got SIGTERM dropped the end of responses that they had not read yet.

Cause: a request counted as ended once its response was handed to the HTTP library. closeIdleConnections, which close calls too, closes connections whose response is not written, and the process ended. The entry did the same.

Change: a connection is busy until its response is written or it is gone; both fronts wait for that, the gateway within its grace; closing idle connections spares it; what is left at the end is reset.

--- a/apps/entry/src/wire.ts
+++ b/apps/entry/src/wire.ts
@@ -210,7 +210,7 @@
     isClosing = true;
     callerServer.stopListening();
     await dispatcher.whenIdle();
-    callerServer.close();
+    await callerServer.close();
     demandReporter.dispose();
     instanceList.dispose();
     config.dispose();
--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -39,8 +39,6 @@
   });
   private routes: RouteTable | undefined;
   private readonly keys = new KeyGate();
-  /** Number of requests whose body is being read. */
-  private readingBodies = 0;
   /** Callbacks of the requests that wait for the first configuration. */
   private readonly awaitingConfig = new Set<() => void>();
 
@@ -51,12 +49,12 @@
       res.on('error', () => undefined);
       this.sequence.accept(req, res);
     });
+    this.sequence.protectUnwritten(this.server);
   }
 
-  /** Number of requests that have been accepted and have not ended. */
+  /** Number of requests that have been accepted and whose response is not written completely. */
   get busy(): number {
-    const {running, readingBodies, awaitingConfig, sequence} = this;
-    return running.size + readingBodies + awaitingConfig.size + sequence.waiting;
+    return this.sequence.unwritten + this.sequence.waiting;
   }
 
   async listen(address: HostPort): Promise<void> {
@@ -94,6 +92,11 @@
     for (const request of [...this.running]) request.giveUp('leaving', LEAVING_RETRY_AFTER_MS);
   }
 
+  /** Resets the connections of responses that their callers have not read. */
+  cutUnwritten(): void {
+    this.sequence.cutUnwritten();
+  }
+
   onFinished(request: CallerRequest): void {
     this.running.delete(request);
   }
@@ -154,9 +157,7 @@
       this.refuseForMemory(req, res, bytes);
       return;
     }
-    this.readingBodies += 1;
     const body = await readBody(req, maxBytes, memory);
-    this.readingBodies -= 1;
     switch (body.kind) {
       case 'read':
         memory.holdUntilClosed(res, body.bytes.length);
--- a/apps/gateway/src/lib/graceful_shutdown.ts
+++ b/apps/gateway/src/lib/graceful_shutdown.ts
@@ -22,7 +22,7 @@
     private readonly graceMs: number,
   ) {}
 
-  /** Resolves when all requests have ended, or shortly before the grace period ends. */
+  /** Resolves when all responses have been written, or shortly before the grace period ends. */
   async run(): Promise<void> {
     const {clock, log, server} = this;
     this.draining = true;
@@ -38,7 +38,11 @@
     }
     const unfinished = server.busy;
     server.endRunning();
+    // The last refusals are written at once; what is left belongs to callers that don't read.
+    if (server.busy > 0) await sleep(POLL_MS);
+    const cut = server.busy;
+    server.cutUnwritten();
     const tookMs = Math.round(clock.monotonicMs() - startedMs);
-    log.info('stopped', {unfinished, tookMs});
+    log.info('stopped', {unfinished, cut, tookMs});
   }
 }
--- a/packages/caller/src/lib/caller_http_server.ts
+++ b/packages/caller/src/lib/caller_http_server.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers: routes, authentication, validation and limits. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import findMyWay from 'find-my-way';
-import {fnv1a32, listenOn, newId, sha256Hex, type HostPort} from '@jasminepost/core';
+import {fnv1a32, listenOn, newId, sha256Hex, sleep, type HostPort} from '@jasminepost/core';
 import type {RequestClass} from '@jasminepost/core';
 import type {ResponseSink, ValidatedRequest} from './response_sink.ts';
 import {parseCompletionRequest} from './completion_request.ts';
@@ -13,6 +13,9 @@
 import {ServiceSink} from './service_sink.ts';
 
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Time that callers have to read the last responses before the entry ends. */
+const MAX_UNREAD_MS = 5000;
+const POLL_MS = 50;
 const MAX_IDEMPOTENCY_KEY_CHARS = 200;
 const PROMPT_PREFIX_CHARS = 512;
 const FINGERPRINT_CHARS = 32;
@@ -85,6 +88,7 @@
     this.server = createServer({maxHeaderSize: MAX_HEADER_BYTES}, (req, res) => {
       this.sequence.accept(req, res);
     });
+    this.sequence.protectUnwritten(this.server);
     this.server.requestTimeout = 0;
     this.router.on(
       'GET',
@@ -117,7 +121,11 @@
     this.server.closeIdleConnections();
   }
 
-  close(): void {
+  /** Waits until all responses are written, then closes; cuts those that are not read in time. */
+  async close(): Promise<void> {
+    const deadlineMs = performance.now() + MAX_UNREAD_MS;
+    while (this.sequence.unwritten > 0 && performance.now() < deadlineMs) await sleep(POLL_MS);
+    this.sequence.cutUnwritten();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/packages/caller/src/lib/request_sequence.ts
+++ b/packages/caller/src/lib/request_sequence.ts
@@ -1,6 +1,7 @@
 /** Handles the requests of each connection one after the other. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {resetConnection} from '@jasminepost/core';
 
 /** Requests ahead on a connection from which on no more are read. */
 const PAUSE_REQUESTS = 16;
@@ -43,7 +44,7 @@
 export class RequestSequence {
   /** Number of requests that wait for an earlier one on their connection. */
   waiting = 0;
-  private readonly connections = new WeakMap<Socket, Connection>();
+  private readonly connections = new Map<Socket, Connection>();
 
   constructor(private readonly events: RequestSequenceEvents) {}
 
@@ -64,6 +65,30 @@
     this.handle({req, res, arrivedMs});
   }
 
+  /** Number of requests whose response is not written completely; not those that wait. */
+  get unwritten(): number {
+    return this.connections.size;
+  }
+
+  /**
+   * Lets the server close idle connections only once their last response is written. Node.js closes
+   * them as soon as it has all of the response.
+   */
+  protectUnwritten(server: Server): void {
+    const closeIdle = server.closeIdleConnections.bind(server);
+    server.closeIdleConnections = () => {
+      const sockets = [...this.connections.keys()];
+      for (const socket of sockets) socket.destroy = () => socket;
+      closeIdle();
+      for (const socket of sockets) delete (socket as Partial<Socket>).destroy;
+    };
+  }
+
+  /** Resets the connections of responses that are not written, which makes them visibly incomplete. */
+  cutUnwritten(): void {
+    for (const socket of this.connections.keys()) resetConnection(socket);
+  }
+
   /** Number of requests that wait on a connection. */
   waitingOn(socket: Socket): number {
     return this.connections.get(socket)?.pending.length ?? 0;
--- a/stand_ins/large_response.ts
+++ b/stand_ins/large_response.ts
@@ -23,7 +23,7 @@
   answered = 0;
   private readonly server: Server = createServer(socket => this.serve(socket));
 
-  /** @param body - Body of each response with status 200. */
+  /** @param body - Body of the responses, except where a path ends with the length of its own. */
   constructor(
     readonly framing: LargeFraming,
     readonly ending: LargeEnding,
@@ -56,19 +56,21 @@
       received += chunk.toString('latin1');
       if (!received.includes('\r\n\r\n')) return;
       const id = /^request-id: (.*)\r$/im.exec(received)?.[1] ?? '';
+      const length = /^\S+ \S*\/(\d+) /.exec(received)?.[1];
+      const body = length === undefined ? this.body : 'x'.repeat(Number(length));
       received = '';
       this.answered += 1;
       const own = [`request-id: ${id}`, 'response-signature: sig', 'content-type: text/plain'];
-      const head = ['HTTP/1.1 200 OK', ...own, ...HEADERS[this.framing](this.body)];
-      socket.write(`${head.join('\r\n')}\r\n\r\n${this.framedBody()}`, () => this.end(socket));
+      const head = ['HTTP/1.1 200 OK', ...own, ...HEADERS[this.framing](body)];
+      socket.write(`${head.join('\r\n')}\r\n\r\n${this.framed(body)}`, () => this.end(socket));
     });
   }
 
-  private framedBody(): string {
-    if (this.framing !== 'chunks and close') return this.body;
+  private framed(body: string): string {
+    if (this.framing !== 'chunks and close') return body;
     const chunks: string[] = [];
-    for (let at = 0; at < this.body.length; at += CHUNK_BYTES) {
-      const data = this.body.slice(at, at + CHUNK_BYTES);
+    for (let at = 0; at < body.length; at += CHUNK_BYTES) {
+      const data = body.slice(at, at + CHUNK_BYTES);
       chunks.push(`${data.length.toString(16)}\r\n${data}\r\n`);
     }
     return `${chunks.join('')}0\r\n\r\n`;
