Tell a steward again of the streams at its replica when it is linked

Callers saw: after a restore of the store with a kill of all gateways, 9 of 24 streams were refused, in a check beside a load average of 20 to 30.

Cause: the steward of an engine that had just been added was not linked when its streams began, so that nobody had told it; a steward that restarts knows none either.

Change: a gateway keeps the streams of each replica for as long as they may be resumed, and tells them to the steward at each link.

--- a/apps/gateway/src/lib/stream_witnesses.ts
+++ b/apps/gateway/src/lib/stream_witnesses.ts
@@ -2,12 +2,14 @@
  * Stewards as witnesses of the version at which streams began: a steward outlives the gateways, and
  * unlike the store it is not restored from an older copy.
  */
+import type {Clock} from '@jasminepost/core';
 import {
   MAX_ASKED_STREAMS,
   MAX_STREAM_NAME_LENGTH,
   type MeshMessage,
   type StreamsReplyMessage,
 } from '@jasminepost/mesh';
+import {STREAM_LIFE_MS} from '@jasminepost/policy';
 import type {Replica} from './replica.ts';
 
 /** Time for the replies; links to stewards may have to be opened first. */
@@ -15,15 +17,24 @@
 /** Interval between two questions to all stewards of a service, for each of them. */
 const ASK_INTERVAL_MS_PER_STEWARD = 1;
 const MIN_ASK_INTERVAL_MS = 10;
+/** Streams at one replica that its steward is told again; the oldest are dropped first. */
+const MAX_STREAMS_PER_STEWARD = 2000;
 
 /** @internal */
 export interface StreamWitnessContext {
+  readonly clock: Clock;
   /** Hosts of the stewards beside the replicas of a service, linked or not. */
   hostsOf(service: string): readonly string[];
   /** @returns False while the steward isn't linked. */
   send(host: string, message: MeshMessage): boolean;
 }
 
+interface ToldStream {
+  readonly requestId: string;
+  readonly version: string;
+  readonly atMs: number;
+}
+
 interface Question {
   readonly service: string;
   readonly requestId: string;
@@ -37,6 +48,8 @@
 export class StreamWitnesses {
   /** Open questions, by request id. */
   private readonly questions = new Map<string, Question>();
+  /** Streams that may still be resumed, the oldest first, by host of their steward. */
+  private readonly told = new Map<string, ToldStream[]>();
   private unsent: Question[] = [];
   private timer: NodeJS.Timeout | undefined;
 
@@ -45,7 +58,19 @@
   /** Tells the steward of the replica that a stream runs there; `requestId` began the stream. */
   tell({entry}: Replica, requestId: string, version: string): void {
     if (!canBeTold(requestId) || version.length > MAX_STREAM_NAME_LENGTH) return;
-    this.ctx.send(entry.address.host, {type: 'stream_begun', requestId, version});
+    const {host} = entry.address;
+    const nowMs = this.ctx.clock.monotonicMs();
+    const told = this.told.get(host) ?? [];
+    this.told.set(host, told);
+    while (told.length > 0 && nowMs - told[0].atMs > STREAM_LIFE_MS) told.shift();
+    if (told.length === MAX_STREAMS_PER_STEWARD) told.shift();
+    told.push({requestId, version, atMs: nowMs});
+    this.ctx.send(host, {type: 'stream_begun', requestId, version});
+  }
+
+  /** Forgets the streams of a replica that is gone, with its steward. */
+  forget({entry}: Replica): void {
+    this.told.delete(entry.address.host);
   }
 
   /**
@@ -72,8 +97,13 @@
     return question.answer;
   }
 
-  /** Asks a steward that has just been linked what the others have been asked. */
+  /**
+   * Tells a steward that has just been linked, and may have just started, of the streams at its
+   * replica, and asks it what the others have been asked.
+   */
   onLinked(host: string): void {
+    for (const {requestId, version} of this.told.get(host) ?? [])
+      this.ctx.send(host, {type: 'stream_begun', requestId, version});
     const open = [...this.questions.values()].filter(question => question.open.has(host));
     this.ask(host, open);
   }
--- a/apps/gateway/src/wire.ts
+++ b/apps/gateway/src/wire.ts
@@ -101,6 +101,7 @@
     onChanged: () => generations.scheduleDispatch(),
   });
   const streamWitnesses = new StreamWitnesses({
+    clock,
     hostsOf: service => stewardLinks.hostsOf(service),
     send: (host, message) => stewardLinks.send(host, message),
   });
@@ -108,6 +109,7 @@
     onAdded: replica => stewardLinks.addEngine(replica),
     onRemoved: replica => {
       stewardLinks.remove(replica);
+      streamWitnesses.forget(replica);
       limits.forget(replica);
     },
     onChanged: () => {
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -134,6 +134,11 @@
     Then no stream has events of two versions
     And at least 12 of the streams are complete
 
+  # A steward that had just started knew no stream of its replica.
+  Scenario: stewards are told of running streams when they are linked
+    When streams begin before their steward is linked, which then restarts
+    Then it has been told of each stream once for each link
+
   Scenario: only a version without any other for the life of a stream is taken for that of all streams
     Then versions that served for these times have left this only version:
       | versions                       | only |
