--- a/apps/gateway/src/lib/caller_server.ts
+++ b/apps/gateway/src/lib/caller_server.ts
@@ -49,8 +49,6 @@
       res.on('error', () => undefined);
       this.sequence.accept(req, res);
     });
-    // Node.js drops the headers behind the thousandth; only their size is limited.
-    this.server.maxHeadersCount = 0;
     this.sequence.protectUnwritten(this.server);
   }
 
--- a/packages/caller/src/lib/caller_http_server.ts
+++ b/packages/caller/src/lib/caller_http_server.ts
@@ -88,8 +88,6 @@
     this.server = createServer({maxHeaderSize: MAX_HEADER_BYTES}, (req, res) => {
       this.sequence.accept(req, res);
     });
-    // Node.js drops the headers behind the thousandth; only their size is limited.
-    this.server.maxHeadersCount = 0;
     this.sequence.protectUnwritten(this.server);
     this.server.requestTimeout = 0;
     this.router.on(
