Drop a field that nothing reads, and wrap a connector once

Found on reading the whole change again: the questions to stewards kept a service that nothing read, and the reset detector wrapped its connector anew for each connection. Behaviour stays.

--- a/apps/gateway/src/lib/stream_witnesses.ts
+++ b/apps/gateway/src/lib/stream_witnesses.ts
@@ -36,7 +36,6 @@
 }
 
 interface Question {
-  readonly service: string;
   readonly requestId: string;
   readonly answer: Promise<string | undefined>;
   /** Stewards that have not replied. */
@@ -86,7 +85,7 @@
     if (asked !== undefined) return asked.answer;
     const hosts = this.ctx.hostsOf(service);
     if (hosts.length === 0) return Promise.resolve(undefined);
-    const question = this.createQuestion(service, requestId, hosts);
+    const question = this.createQuestion(requestId, hosts);
     this.questions.set(requestId, question);
     this.unsent.push(question);
     const delayMs = Math.max(MIN_ASK_INTERVAL_MS, ASK_INTERVAL_MS_PER_STEWARD * hosts.length);
@@ -123,7 +122,7 @@
     for (const question of this.questions.values()) question.settle(undefined);
   }
 
-  private createQuestion(service: string, requestId: string, hosts: readonly string[]): Question {
+  private createQuestion(requestId: string, hosts: readonly string[]): Question {
     let settle!: Question['settle'];
     const answer = new Promise<string | undefined>(resolve => {
       const timeout = setTimeout(() => settle(undefined), REPLY_TIMEOUT_MS);
@@ -133,7 +132,7 @@
         resolve(version);
       };
     });
-    return {service, requestId, answer, open: new Set(hosts), settle};
+    return {requestId, answer, open: new Set(hosts), settle};
   }
 
   private sendQuestions(): void {
--- a/packages/core/src/lib/reset_detector.ts
+++ b/packages/core/src/lib/reset_detector.ts
@@ -40,8 +40,9 @@
 
   /** Like `connector`, for connections that are opened in another way. */
   watchedConnector(connect: buildConnector.connector): buildConnector.connector {
+    const open = withDeferredEnd(connect);
     return (target, callback) => {
-      withDeferredEnd(connect)(target, (...result: Parameters<buildConnector.Callback>) => {
+      open(target, (...result: Parameters<buildConnector.Callback>) => {
         const socket: unknown = result[1];
         // A failed connection attempt has no socket.
         if (socket instanceof Socket) {
